Add design, wire schemas and log folds

Cause: the modules need one reference for requirements, messages and state before they can be built independently.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin plays the platform in tests: log service, instance list and backend servers.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/flow/result/result.go
@@ -0,0 +1,81 @@
+// Package result holds the verdict that every failure on the path of a request carries: whether the request
+// may have been executed by a backend server.
+package result
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Verdict says whether a backend server may have executed a request. The zero value is MayHaveRun, so that a
+// verdict that was never set cannot permit a retry.
+type Verdict uint8
+
+const (
+	// MayHaveRun means that the request was sent and its outcome is unknown.
+	MayHaveRun Verdict = iota
+	// NotRun means that no server has executed the request or ever will.
+	NotRun
+	// Ran means that a server executed the request and its whole answer is known.
+	Ran
+)
+
+// Header is the name of the response header that shows the verdict to the caller.
+const Header = "Bramleycove-Verdict"
+
+// String returns the form used in the Header field: "not-run", "may-have-run" or "ran".
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse returns the verdict that s names. Unknown text is MayHaveRun.
+func Parse(s string) Verdict {
+	switch s {
+	case NotRun.String():
+		return NotRun
+	case Ran.String():
+		return Ran
+	default:
+		return MayHaveRun
+	}
+}
+
+// Error is a failed request. Status is the HTTP status for the caller; RetryAfter is zero when the caller is
+// given no time to try again.
+type Error struct {
+	Verdict    Verdict
+	Status     int
+	Reason     string // short and stable, for logs and metrics, for example "queue-full"
+	RetryAfter time.Duration
+	Cause      error // may be nil
+}
+
+// Error returns reason, verdict and cause in one line.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("%s (%s)", e.Reason, e.Verdict)
+	}
+	return fmt.Sprintf("%s (%s): %v", e.Reason, e.Verdict, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// From returns the *Error in the chain of err. Any other error becomes a MayHaveRun with status 502, since
+// nothing is known about it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Verdict: MayHaveRun, Status: 502, Reason: "internal", Cause: err}
+}
--- /dev/null
+++ b/internal/place/fold/config.go
@@ -0,0 +1,104 @@
+package fold
+
+import (
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// recentPublications is how many accepted publications a fold remembers by id, so that a publisher whose append
+// answer was lost, and who repeats it after other publications, still learns that it was accepted.
+const recentPublications = 64
+
+// Publication is one accepted version of the tables.
+type Publication struct {
+	Version uint64 // offset of the Publish record
+	ID      string
+	Routes  []byte
+	Pools   []byte
+}
+
+// Config is the fold of the config stream. The zero value is the state before the first record.
+// It is not safe for concurrent use.
+type Config struct {
+	cursor
+	Publication
+	recent []accepted
+}
+
+type accepted struct {
+	id      string
+	version uint64
+}
+
+// Apply folds the record at offset. valid checks tables and must give the same answer in every instance.
+// Records at or below the last offset folded are ignored.
+func (c *Config) Apply(offset uint64, rec *record.Record, valid func(routes, pools []byte) error) Outcome {
+	if !c.advance(offset) {
+		return Seen
+	}
+	switch kind := rec.GetKind().(type) {
+	case *record.Record_Publish:
+		return c.publish(offset, kind.Publish, valid)
+	case *record.Record_Snapshot:
+		return Ignored
+	default:
+		return Ignored
+	}
+}
+
+func (c *Config) publish(offset uint64, p *record.Publish, valid func(routes, pools []byte) error) Outcome {
+	if _, ok := c.Accepted(p.GetId()); ok {
+		return Seen
+	}
+	if p.GetBase() != c.Version {
+		return Stale
+	}
+	if valid != nil && valid(p.GetRoutes(), p.GetPools()) != nil {
+		return Invalid
+	}
+	c.Publication = Publication{Version: offset, ID: p.GetId(), Routes: p.GetRoutes(), Pools: p.GetPools()}
+	c.remember(p.GetId(), offset)
+	return Applied
+}
+
+func (c *Config) remember(id string, version uint64) {
+	c.recent = append(c.recent, accepted{id: id, version: version})
+	if n := len(c.recent) - recentPublications; n > 0 {
+		c.recent = append([]accepted(nil), c.recent[n:]...)
+	}
+}
+
+// Accepted returns the version that the publication with this id became.
+func (c *Config) Accepted(id string) (version uint64, ok bool) {
+	for _, a := range c.recent {
+		if a.id == id {
+			return a.version, true
+		}
+	}
+	return 0, false
+}
+
+// State returns the state for a snapshot.
+func (c *Config) State() *record.Config {
+	s := &record.Config{Version: c.Version, Id: c.ID, Routes: c.Routes, Pools: c.Pools}
+	for _, a := range c.recent {
+		s.Recent = append(s.Recent, a.id)
+		s.Versions = append(s.Versions, a.version)
+	}
+	return s
+}
+
+// Adopt replaces the state by s, the fold of all records up to asof. It reports false, and changes nothing,
+// when the fold has already passed asof.
+func (c *Config) Adopt(asof uint64, s *record.Config) bool {
+	if !c.jump(asof) {
+		return false
+	}
+	c.Publication = Publication{Version: s.GetVersion(), ID: s.GetId(), Routes: s.GetRoutes(), Pools: s.GetPools()}
+	c.recent = c.recent[:0]
+	for i, id := range s.GetRecent() {
+		if i < len(s.GetVersions()) {
+			c.remember(id, s.GetVersions()[i])
+		}
+	}
+	return true
+}
