Add clients of the log service and the instance list

Cause: the control plane, the ledger and publishing need the platform. Change: logsvc and roster, one package each, so that an adapter replaces one file.

--- /dev/null
+++ b/internal/plat/logsvc/logsvc.go
@@ -0,0 +1,122 @@
+// Package logsvc is the client of the platform's append-only log service. Everything that the system needs of a
+// log is in the signatures of Append and Read; an adapter for another service replaces this package alone.
+package logsvc
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrStatus is an answer of the log service other than success. The append it answers has not taken effect.
+type ErrStatus struct {
+	Stream string
+	Status int
+}
+
+// Error names the stream and the status.
+func (e *ErrStatus) Error() string {
+	return fmt.Sprintf("log service answered %d for stream %q", e.Status, e.Stream)
+}
+
+// Record is one entry of a stream.
+type Record struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Batch is the answer to a read. First is the oldest offset retained and Next the offset that the next append
+// gets; First equals Next when nothing is retained.
+type Batch struct {
+	First   uint64   `json:"first"`
+	Next    uint64   `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// Client talks to one log service. It may be used by many goroutines.
+type Client struct {
+	base string
+	http *fasthttp.Client
+}
+
+// connectTimeout bounds the time to open a connection, so that an unreachable service is noticed within a
+// fraction of a lease.
+const connectTimeout = 500 * time.Millisecond
+
+// New returns a client of the log service at addr.
+func New(addr netip.AddrPort) *Client {
+	dial := func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, connectTimeout) }
+	return &Client{
+		base: "http://" + addr.String() + "/v1/streams/",
+		// A repeated append could take effect twice, so the client never repeats a request by itself.
+		http: &fasthttp.Client{Dial: dial, MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry},
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// Append adds data to the stream and returns its offset. After an error other than *ErrStatus the append may have
+// taken effect.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer release(req, resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(c.base + stream + "/records")
+	req.SetBody(data)
+	if err := c.do(ctx, stream, req, resp); err != nil {
+		return 0, err
+	}
+	var out struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+		return 0, err
+	}
+	if out.Offset == 0 {
+		return 0, fmt.Errorf("log service answered an append to stream %q without an offset", stream)
+	}
+	return out.Offset, nil
+}
+
+// Read returns records of the stream from offset from on, at most limit. If there are none it waits up to wait for
+// the next append. A batch without records is no error.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (Batch, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer release(req, resp)
+	req.SetRequestURI(fmt.Sprintf("%s%s/records?from=%d&wait=%d&max=%d", c.base, stream, from, wait.Milliseconds(), limit))
+	var out Batch
+	if err := c.do(ctx, stream, req, resp); err != nil {
+		return out, err
+	}
+	return out, json.Unmarshal(resp.Body(), &out)
+}
+
+// defaultTimeout applies to calls whose context has no deadline.
+const defaultTimeout = 10 * time.Second
+
+func (c *Client) do(ctx context.Context, stream string, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return err
+	}
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		return &ErrStatus{Stream: stream, Status: status}
+	}
+	return nil
+}
+
+func release(req *fasthttp.Request, resp *fasthttp.Response) {
+	fasthttp.ReleaseRequest(req)
+	fasthttp.ReleaseResponse(resp)
+}
--- /dev/null
+++ b/internal/plat/roster/roster.go
@@ -0,0 +1,86 @@
+// Package roster is the client of the platform's list of instances and backend servers. The list lags: it is a
+// hint of who is there, and decides alone only that an instance has long been gone.
+package roster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+)
+
+// Instance is an entry instance as the platform lists it.
+type Instance struct {
+	Name    string         `json:"id"` // the instance's name in its settings, without incarnation
+	DC      string         `json:"dc"`
+	Region  string         `json:"region"`
+	Peer    netip.AddrPort `json:"peer"`
+	Leaving bool           `json:"-"`
+	State   string         `json:"state"`
+}
+
+// Server is a backend server as the platform lists it.
+type Server struct {
+	Pool    string         `json:"pool"`
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	Leaving bool           `json:"-"`
+	State   string         `json:"state"`
+}
+
+// List is one answer of the platform.
+type List struct {
+	Instances []Instance `json:"instances"`
+	Servers   []Server   `json:"servers"`
+}
+
+// Client talks to one list service. It may be used by many goroutines.
+type Client struct {
+	url  string
+	http *fasthttp.Client
+}
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	fetchTimeout   = 2 * time.Second
+)
+
+// New returns a client of the list service at addr.
+func New(addr netip.AddrPort) *Client {
+	dial := func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, connectTimeout) }
+	return &Client{url: "http://" + addr.String() + "/v1/instances", http: &fasthttp.Client{Dial: dial}}
+}
+
+// Fetch returns the list as the platform shows it now.
+func (c *Client) Fetch(ctx context.Context) (List, error) {
+	var out List
+	if err := ctx.Err(); err != nil {
+		return out, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.url)
+	if err := c.http.DoTimeout(req, resp, fetchTimeout); err != nil {
+		return out, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return out, fmt.Errorf("list service answered %d", resp.StatusCode())
+	}
+	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+		return out, err
+	}
+	for i := range out.Instances {
+		out.Instances[i].Leaving = out.Instances[i].State == stateLeaving
+	}
+	for i := range out.Servers {
+		out.Servers[i].Leaving = out.Servers[i].State == stateLeaving
+	}
+	return out, nil
+}
+
+const stateLeaving = "leaving"
