--- /dev/null
+++ b/internal/stand/hold/hold.go
@@ -0,0 +1,162 @@
+// Package hold keeps loopback ports reserved while nothing listens on them, so that a test can make an address
+// refuse connections, or restart a process at its old address, without another process taking the port meanwhile.
+package hold
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Port is a reserved port. The kernel gives it to nobody else, and refuses connections to it until a listener made
+// by Listen exists.
+type Port struct {
+	Addr netip.AddrPort
+	fd   int
+}
+
+// Reserve reserves addr. Port 0 lets the kernel choose. Only IPv4 addresses are supported.
+func Reserve(addr netip.AddrPort) (*Port, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	p := &Port{fd: fd}
+	if err := p.bind(addr); err != nil {
+		_ = unix.Close(fd)
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Port) bind(addr netip.AddrPort) error {
+	if err := unix.SetsockoptInt(p.fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		return err
+	}
+	if err := unix.Bind(p.fd, &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}); err != nil {
+		return err
+	}
+	name, err := unix.Getsockname(p.fd)
+	if err != nil {
+		return err
+	}
+	p.Addr = netip.AddrPortFrom(addr.Addr(), uint16(name.(*unix.SockaddrInet4).Port))
+	return nil
+}
+
+// Release gives the port back to the kernel. Listeners on it go on.
+func (p *Port) Release() error { return unix.Close(p.fd) }
+
+// Listen listens at addr, which may be reserved by a Port of any process of the same user.
+func Listen(addr netip.AddrPort) (net.Listener, error) {
+	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if e := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	return cfg.Listen(context.Background(), "tcp4", addr.String())
+}
+
+// Listener is a net.Listener that can refuse connections for a while and keeps its port meanwhile. It may be used
+// by many goroutines.
+type Listener struct {
+	port   *Port
+	mu     sync.Mutex
+	wake   *sync.Cond
+	ln     net.Listener // nil while connections are refused
+	closed bool
+}
+
+// NewListener listens at addr.
+func NewListener(addr netip.AddrPort) (*Listener, error) {
+	port, err := Reserve(addr)
+	if err != nil {
+		return nil, err
+	}
+	l := &Listener{port: port}
+	l.wake = sync.NewCond(&l.mu)
+	if err := l.Refuse(false); err != nil {
+		_ = port.Release()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Refuse makes the kernel refuse connections, or accept them again. Connections accepted earlier go on.
+func (l *Listener) Refuse(on bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || on == (l.ln == nil) {
+		return nil
+	}
+	if on {
+		ln := l.ln
+		l.ln = nil
+		return ln.Close()
+	}
+	ln, err := Listen(l.port.Addr)
+	if err != nil {
+		return err
+	}
+	l.ln = ln
+	l.wake.Broadcast()
+	return nil
+}
+
+// Accept waits for the next connection, also through times of refusal. It fails with net.ErrClosed after Close.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		ln := l.current()
+		if ln == nil {
+			return nil, net.ErrClosed
+		}
+		c, err := ln.Accept()
+		if err == nil {
+			return c, nil
+		}
+		if l.current() == ln {
+			return nil, err
+		}
+	}
+}
+
+func (l *Listener) current() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.ln == nil && !l.closed {
+		l.wake.Wait()
+	}
+	if l.closed {
+		return nil
+	}
+	return l.ln
+}
+
+// Close ends the listener and releases its port.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.wake.Broadcast()
+	if l.ln != nil {
+		_ = l.ln.Close()
+	}
+	return l.port.Release()
+}
+
+// Addr returns the reserved address.
+func (l *Listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.port.Addr) }
+
+// AddrPort returns the reserved address.
+func (l *Listener) AddrPort() netip.AddrPort { return l.port.Addr }
--- /dev/null
+++ b/internal/stand/logsrv/logsrv.go
@@ -0,0 +1,158 @@
+// Package logsrv plays the platform's append-only log service: streams in memory, an append limit, retention, and
+// faults on demand.
+package logsrv
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/gofiber/fiber/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/bramleycove/bramleycove/internal/stand/gate"
+)
+
+// Settings of a log service.
+type Settings struct {
+	Rate  float64       // appends per second over all streams
+	Queue time.Duration // longest wait of an append above the rate; beyond it is answered 429
+	Keep  int           // records retained of a stream; 0 means all
+	Age   time.Duration // longest age of a retained record; 0 means any
+}
+
+// Server is a log service. Requests of kind "append" and "read" can be given different modes.
+type Server struct {
+	*gate.Node
+	store   store
+	queue   time.Duration
+	limiter *rate.Limiter
+	counts  counts
+}
+
+type counts struct {
+	appends, refused, reads, in, out atomic.Int64
+}
+
+// Counts is what the service has done since its start. Bytes are those of bodies.
+type Counts struct {
+	Streams map[string][2]uint64 `json:"streams"` // first and next offset
+	Appends int64                `json:"appends"`
+	Refused int64                `json:"refused"`
+	Reads   int64                `json:"reads"`
+	In      int64                `json:"in"`
+	Out     int64                `json:"out"`
+}
+
+// Command is the body of POST /control.
+type Command struct {
+	gate.Order
+	Trim *Trim `json:"trim,omitempty"`
+}
+
+// Trim drops the records of a stream below an offset.
+type Trim struct {
+	Stream string `json:"stream"`
+	Below  uint64 `json:"below"`
+}
+
+const defaultMax = 1000
+
+// New returns a service that does not listen yet.
+func New(cfg Settings) *Server {
+	s := &Server{
+		Node:    gate.NewNode(),
+		store:   store{keep: cfg.Keep, age: cfg.Age, streams: map[string]*stream{}},
+		queue:   cfg.Queue,
+		limiter: rate.NewLimiter(rate.Limit(cfg.Rate), max(1, int(cfg.Rate/10))),
+	}
+	s.Service.Post("/v1/streams/:stream/records", s.append)
+	s.Service.Get("/v1/streams/:stream/records", s.read)
+	s.Control.Post("/control", s.control)
+	s.Control.Get("/control", func(c *fiber.Ctx) error { return c.JSON(s.Counts()) })
+	return s
+}
+
+func (s *Server) append(c *fiber.Ctx) error {
+	mode := s.Admit(c, "append")
+	if mode == gate.Down {
+		return nil
+	}
+	r := s.limiter.Reserve()
+	if wait := r.Delay(); wait > s.queue {
+		r.Cancel()
+		s.counts.refused.Add(1)
+		return c.SendStatus(fiber.StatusTooManyRequests)
+	} else if wait > 0 {
+		time.Sleep(wait)
+	}
+	body := c.Body()
+	offset := s.store.append(time.Now(), c.Params("stream"), body)
+	s.counts.appends.Add(1)
+	s.counts.in.Add(int64(len(body)))
+	if mode == gate.Lost {
+		gate.Drop(c)
+		return nil
+	}
+	return c.JSON(fiber.Map{"offset": offset})
+}
+
+func (s *Server) read(c *fiber.Ctx) error {
+	from, limit := uint64(max(1, c.QueryInt("from", 1))), c.QueryInt("max", defaultMax)
+	deadline := time.Now().Add(time.Duration(c.QueryInt("wait")) * time.Millisecond)
+	for {
+		mode := s.Admit(c, "read")
+		if mode == gate.Down {
+			return nil
+		}
+		mood := s.Changed()
+		now := time.Now()
+		batch, more := s.store.read(now, c.Params("stream"), from, limit)
+		if len(batch.Records) > 0 || !now.Before(deadline) || from < batch.First {
+			return s.answer(c, mode, batch)
+		}
+		timer := time.NewTimer(deadline.Sub(now))
+		select {
+		case <-more:
+		case <-mood:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Server) answer(c *fiber.Ctx, mode gate.Mode, batch Batch) error {
+	s.counts.reads.Add(1)
+	if mode == gate.Lost {
+		gate.Drop(c)
+		return nil
+	}
+	err := c.JSON(batch)
+	s.counts.out.Add(int64(len(c.Response().Body())))
+	return err
+}
+
+func (s *Server) control(c *fiber.Ctx) error {
+	var cmd Command
+	if err := json.Unmarshal(c.Body(), &cmd); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	if cmd.Trim != nil {
+		s.store.trim(cmd.Trim.Stream, cmd.Trim.Below)
+	}
+	if cmd.Mode != "" {
+		if err := s.Set(cmd.Order); err != nil {
+			return fiber.NewError(fiber.StatusBadRequest, err.Error())
+		}
+	}
+	return c.JSON(s.Counts())
+}
+
+// Counts returns what the service has done so far.
+func (s *Server) Counts() Counts {
+	return Counts{
+		Streams: s.store.ranges(),
+		Appends: s.counts.appends.Load(), Refused: s.counts.refused.Load(), Reads: s.counts.reads.Load(),
+		In: s.counts.in.Load(), Out: s.counts.out.Load(),
+	}
+}
