--- /dev/null
+++ b/internal/stand/gate/conns.go
@@ -0,0 +1,67 @@
+package gate
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Conns counts the connections of a listener and enforces a limit. Set Limit and Setup before Wrap.
+type Conns struct {
+	Limit    int64         // 0 means none
+	Setup    time.Duration // time that a new connection takes before its first request is read
+	Open     atomic.Int64
+	Max      atomic.Int64 // largest value of Open so far
+	Rejected atomic.Int64 // connections beyond the limit
+}
+
+type countedListener struct {
+	net.Listener
+	*Conns
+}
+
+type countedConn struct {
+	*net.TCPConn
+	conns  *Conns
+	ready  time.Time
+	closed atomic.Bool
+}
+
+// Wrap returns a listener that hands out the connections of ln.
+func (c *Conns) Wrap(ln net.Listener) net.Listener { return &countedListener{ln, c} }
+
+// Accept returns the next connection within the limit. Those beyond it are reset.
+func (l *countedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp := c.(*net.TCPConn)
+		n := l.Open.Add(1)
+		if l.Limit > 0 && n > l.Limit {
+			l.Open.Add(-1)
+			l.Rejected.Add(1)
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+			continue
+		}
+		l.Max.Store(max(l.Max.Load(), n)) // only this goroutine writes max
+		return &countedConn{TCPConn: tcp, conns: l.Conns, ready: time.Now().Add(l.Setup)}, nil
+	}
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	if !c.ready.IsZero() {
+		time.Sleep(time.Until(c.ready))
+		c.ready = time.Time{}
+	}
+	return c.TCPConn.Read(p)
+}
+
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.conns.Open.Add(-1)
+	}
+	return c.TCPConn.Close()
+}
