--- a/internal/stand/listsv/listsv.go
+++ b/internal/stand/listsv/listsv.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -106,12 +105,14 @@
 }
 
 func (v version) list() List {
-	return List{
-		Instances: slices.SortedFunc(maps.Values(v.instances), func(a, b Instance) int { return strings.Compare(a.ID, b.ID) }),
-		Servers: slices.SortedFunc(maps.Values(v.servers), func(a, b Server) int {
-			return strings.Compare(a.Pool+"/"+a.Name, b.Pool+"/"+b.Name)
-		}),
+	out := List{Instances: []Instance{}, Servers: []Server{}} // empty lists have to show as [], not null
+	for _, id := range slices.Sorted(maps.Keys(v.instances)) {
+		out.Instances = append(out.Instances, v.instances[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
+		out.Servers = append(out.Servers, v.servers[id])
+	}
+	return out
 }
 
 func (s *Service) control(c *fiber.Ctx) error {
