--- /dev/null
+++ b/internal/stand/proxy/proxy_test.go
@@ -0,0 +1,223 @@
+package proxy_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/bramleycove/bramleycove/internal/stand/proxy"
+)
+
+// echo starts a server that answers each line with the same line, and a proxy before it.
+func echo(t *testing.T) *proxy.Proxy {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	p, err := proxy.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	if err := p.Target(netip.MustParseAddrPort(ln.Addr().String())); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+type conn struct {
+	net.Conn
+	t     *testing.T
+	lines *bufio.Reader
+}
+
+func dial(t *testing.T, p *proxy.Proxy) *conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &conn{c, t, bufio.NewReader(c)}
+}
+
+func (c *conn) say(line string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// hear returns the next line, or an error if none comes within the time.
+func (c *conn) hear(within time.Duration) (string, error) {
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	line, err := c.lines.ReadString('\n')
+	return strings.TrimSuffix(line, "\n"), err
+}
+
+func (c *conn) expect(line string) {
+	c.t.Helper()
+	if got, err := c.hear(5 * time.Second); got != line || err != nil {
+		c.t.Fatalf("got %q, %v, want %q", got, err, line)
+	}
+}
+
+func (c *conn) silent() {
+	c.t.Helper()
+	if got, err := c.hear(50 * time.Millisecond); !errors.Is(err, syscall.ETIMEDOUT) && !isTimeout(err) {
+		c.t.Fatalf("got %q, %v, want silence", got, err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+func (c *conn) broken() {
+	c.t.Helper()
+	if got, err := c.hear(5 * time.Second); err == nil || isTimeout(err) {
+		c.t.Fatalf("got %q, %v, want a closed connection", got, err)
+	}
+}
+
+// Guards against a cut that lets bytes through, affects the other direction, or loses what TCP would repeat.
+func TestCut(t *testing.T) {
+	for _, ds := range [][]proxy.Direction{{proxy.Out}, {proxy.Back}, nil} {
+		p := echo(t)
+		c := dial(t, p)
+		c.say("a")
+		c.expect("a")
+		out := p.Bytes(proxy.Out)
+		p.Cut(ds...)
+		c.say("b")
+		c.silent()
+		if passed := p.Bytes(proxy.Out) > out; passed != (len(ds) == 1 && ds[0] == proxy.Back) {
+			t.Errorf("cut %v: request passed: %v", ds, passed)
+		}
+		late := dial(t, p)
+		late.say("c")
+		late.silent()
+		p.Heal()
+		c.expect("b")
+		late.expect("c")
+	}
+}
+
+// Guards against dropped bytes that leave a connection in use with a gap in its stream.
+func TestDrop(t *testing.T) {
+	p := echo(t)
+	c := dial(t, p)
+	p.Set(proxy.Out, proxy.Fault{Drop: true})
+	c.say("a")
+	c.silent()
+	p.Set(proxy.Out, proxy.Fault{})
+	c.say("b")
+	c.broken()
+}
+
+// Guards against an answer that is swallowed although the request did not arrive, or that is swallowed twice.
+func TestSwallow(t *testing.T) {
+	p := echo(t)
+	p.Swallow(1)
+	c := dial(t, p)
+	c.say("a")
+	c.broken()
+	if p.Bytes(proxy.Out) != 2 || p.Bytes(proxy.Back) != 0 {
+		t.Errorf("%d bytes out, %d back", p.Bytes(proxy.Out), p.Bytes(proxy.Back))
+	}
+	c = dial(t, p)
+	c.say("b")
+	c.expect("b")
+}
+
+// Guards against a half-open connection whose living side is told.
+func TestHalfOpen(t *testing.T) {
+	p := echo(t)
+	c := dial(t, p)
+	c.say("a")
+	c.expect("a")
+	p.HalfOpen(proxy.Out)
+	c.say("b")
+	c.silent()
+	if p.Links() != 1 {
+		t.Errorf("%d links", p.Links())
+	}
+	p.ResetAll()
+	c.broken()
+}
+
+// Guards against a reset before or after the stated number of bytes.
+func TestReset(t *testing.T) {
+	p := echo(t)
+	p.Set(proxy.Back, proxy.Fault{Reset: 5})
+	c := dial(t, p)
+	c.say("ab")
+	c.expect("ab")
+	c.say("cdef")
+	c.broken()
+	if p.Bytes(proxy.Back) != 5 {
+		t.Errorf("%d bytes passed", p.Bytes(proxy.Back))
+	}
+}
+
+// Guards against a delay or a limit that does nothing, and against a half-closed connection that loses its answer.
+func TestDelayAndLimit(t *testing.T) {
+	p := echo(t)
+	p.Set(proxy.Out, proxy.Fault{Delay: 100 * time.Millisecond})
+	p.Set(proxy.Back, proxy.Fault{Limit: rate.NewLimiter(100_000, proxy.ChunkSize)})
+	start := time.Now()
+	c := dial(t, p)
+	text := strings.Repeat("x", 40_000)
+	go func() {
+		_, _ = io.WriteString(c, text)
+		_ = c.Conn.(*net.TCPConn).CloseWrite()
+	}()
+	got, err := io.ReadAll(c)
+	if err != nil || string(got) != text {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+	// 40,000 bytes less the burst of 16,384 take 0.236 s at the limit.
+	if took := time.Since(start); took < 300*time.Millisecond {
+		t.Errorf("took only %v", took)
+	}
+}
+
+// Guards against a proxy that accepts connections for a target that has ended.
+func TestRefuse(t *testing.T) {
+	p := echo(t)
+	if err := p.Refuse(true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Dial("tcp", p.Address().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("dial: %v", err)
+	}
+	if err := p.Refuse(false); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, p)
+	c.say("a")
+	c.expect("a")
+}
