Add judge of the servers' and callers' journals

Grants are journalled with a time read under the lock of the token check; before, an execution could seem to end after its revocation.

--- a/internal/stand/bkend/bkend.go
+++ b/internal/stand/bkend/bkend.go
@@ -161,7 +161,7 @@
 	if !req.Valid() {
 		return fiber.NewError(fiber.StatusBadRequest, "invalid range of slots")
 	}
-	reply := s.grants.Apply(trace.Now(), req, s.record)
+	reply := s.grants.Apply(trace.Now, req, s.record)
 	reply.Leaving = s.Draining()
 	if reply.Accepted {
 		s.granted.Add(1)
--- a/internal/stand/fence/fence.go
+++ b/internal/stand/fence/fence.go
@@ -42,7 +42,7 @@
 	Leaving     bool          `json:"leaving"`
 }
 
-// Grants is what a server holds and whom it obeys. Now arguments are times of trace.Now. It may be used by many
+// Grants is what a server holds and whom it obeys. Clock arguments return the time of trace.Now. It may be used by many
 // goroutines.
 type Grants struct {
 	mu          sync.Mutex
@@ -61,9 +61,12 @@
 
 // Apply carries out a valid request. Record is called with the event of an accepted grant before any request can be
 // checked against that grant.
-func (g *Grants) Apply(now int64, req Request, record func(*trace.Event)) Reply {
+//
+// The clock is read under the lock that Holds takes too, so that times in the journal have the order of the checks.
+func (g *Grants) Apply(clock func() int64, req Request, record func(*trace.Event)) Reply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := clock()
 	accepted := req.Incarnation == g.incarnation && !g.superseded(req)
 	if accepted {
 		before := g.current(now)
--- a/internal/stand/fence/fence_test.go
+++ b/internal/stand/fence/fence_test.go
@@ -38,7 +38,7 @@
 		{"lower term after lapse", 200, fence.Request{Incarnation: incarnation, Term: 5, Slots: run(0, 9, 9), Until: 9000}, false, nil, nil},
 	} {
 		var revoked []trace.Range
-		reply := g.Apply(step.now, step.req, func(ev *trace.Event) { revoked = ev.Revoked })
+		reply := g.Apply(func() int64 { return step.now }, step.req, func(ev *trace.Event) { revoked = ev.Revoked })
 		if reply.Accepted != step.accepted || !reflect.DeepEqual(reply.Held, step.held) || !reflect.DeepEqual(revoked, step.revoked) {
 			t.Errorf("%s: %+v, revoked %v", step.name, reply, revoked)
 		}
@@ -51,7 +51,7 @@
 // Guards against serving a slot with another token, another pool, or at the moment of the lapse.
 func TestHolds(t *testing.T) {
 	g := fence.New(incarnation, 0)
-	g.Apply(0, fence.Request{Incarnation: incarnation, Term: 1, Slots: run(2, 3, 7), Until: 100}, func(*trace.Event) {})
+	g.Apply(func() int64 { return 0 }, fence.Request{Incarnation: incarnation, Term: 1, Slots: run(2, 3, 7), Until: 100}, func(*trace.Event) {})
 	for _, tc := range []struct {
 		now   int64
 		pool  string
--- /dev/null
+++ b/internal/stand/judge/calls.go
@@ -0,0 +1,112 @@
+package judge
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/bramleycove/bramleycove/internal/stand/trace"
+)
+
+// The verdicts that callers see.
+const (
+	verdictRan = "ran"
+	notRun     = "not-run"
+)
+
+// ran tells whether the caller was given an answer as that of its work.
+func ran(call *trace.Event) bool {
+	return call.Verdict == verdictRan || call.Verdict == "" && call.Status == 200
+}
+
+// Repeats finds work that was committed more than once: by the identity that the instance sent to the servers, by
+// the identity that callers used, and by the mark of a single call.
+func (r *Record) Repeats() []Violation {
+	work := map[string][]*trace.Event{}
+	for _, ev := range r.execs {
+		if ev.Committed && ev.Identity != "" {
+			key := fmt.Sprintf("identity %q", ev.Identity)
+			work[key] = append(work[key], ev)
+		}
+	}
+	for id := range r.marks {
+		work[fmt.Sprintf("caller's identity %q", id)] = r.works(id, "")
+	}
+	for mark, evs := range r.commits {
+		work[fmt.Sprintf("call %q", mark)] = evs
+	}
+	var out []Violation
+	for _, key := range slices.Sorted(maps.Keys(work)) {
+		if evs := work[key]; len(evs) > 1 {
+			out = append(out, Violation{"repeat", fmt.Sprintf("%s was committed %d times", key, len(evs)), evs})
+		}
+	}
+	return out
+}
+
+// works returns the committed executions of a call's mark, and those of all calls with the same identity if it has one.
+func (r *Record) works(identity, mark string) []*trace.Event {
+	marks := []string{mark}
+	if identity != "" {
+		marks = append(marks, r.marks[identity]...)
+		slices.Sort(marks)
+		marks = slices.Compact(marks)
+	}
+	var out []*trace.Event
+	for _, m := range marks {
+		out = append(out, r.commits[m]...)
+	}
+	return out
+}
+
+// FalseNotRun finds calls that were told that their work did not run although it was committed.
+func (r *Record) FalseNotRun() []Violation {
+	var out []Violation
+	for _, call := range r.calls {
+		if evs := r.commits[call.Mark]; call.Verdict == notRun && len(evs) > 0 {
+			text := fmt.Sprintf("call %q was told not-run and was committed", call.Mark)
+			out = append(out, Violation{"not-run", text, append([]*trace.Event{call}, evs...)})
+		}
+	}
+	return out
+}
+
+// Denied finds calls that were told not-run although an earlier call with the same identity had been committed.
+// It is stricter than FalseNotRun: the call itself did not run, but the work that it names did.
+func (r *Record) Denied() []Violation {
+	var out []Violation
+	for _, call := range r.calls {
+		if call.Verdict != notRun || call.Identity == "" {
+			continue
+		}
+		for _, ev := range r.works(call.Identity, call.Mark) {
+			if ev.End <= call.End {
+				text := fmt.Sprintf("call %q was told not-run after its identity %q was committed", call.Mark, call.Identity)
+				out = append(out, Violation{"denied", text, []*trace.Event{call, ev}})
+			}
+		}
+	}
+	return out
+}
+
+// Answers finds calls whose answer is not, byte for byte, that of a committed execution of their work.
+func (r *Record) Answers() []Violation {
+	var out []Violation
+	for _, call := range r.calls {
+		if !ran(call) {
+			continue
+		}
+		evs := r.works(call.Identity, call.Mark)
+		same := func(ev *trace.Event) bool { return bytes.Equal(ev.Body, call.Body) }
+		switch {
+		case len(evs) == 0:
+			text := fmt.Sprintf("call %q has an answer and no committed execution", call.Mark)
+			out = append(out, Violation{"answer", text, []*trace.Event{call}})
+		case !slices.ContainsFunc(evs, same):
+			text := fmt.Sprintf("the answer to call %q is not the one in the journal", call.Mark)
+			out = append(out, Violation{"answer", text, append([]*trace.Event{call}, evs...)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/judge/judge_test.go
@@ -0,0 +1,101 @@
+package judge_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/bramleycove/bramleycove/internal/stand/judge"
+)
+
+// sound is a run without violations: slot 3 moves from s1 (token 5) to s2 (token 6), and s1 restarts while holding
+// slot 9. Identity "A" is sent twice and answered twice from one execution.
+const sound = `
+{"event":"start","server":"s1","incarnation":1,"checks":true,"from":1}
+{"event":"grant","server":"s1","incarnation":1,"from":10,"until":100,"slots":[{"pool":"p","first":0,"last":9,"token":5}]}
+{"event":"exec","server":"s1","incarnation":1,"pool":"p","slot":3,"token":5,"mark":"a1","identity":"A","begin":20,"end":30,"committed":true,"body":"YTE="}
+{"event":"grant","server":"s1","incarnation":1,"from":40,"until":140,"slots":[{"pool":"p","first":4,"last":9,"token":5}]}
+{"event":"exec","server":"s1","incarnation":1,"pool":"p","slot":3,"token":5,"mark":"b","begin":35,"end":45,"reason":"token"}
+{"event":"start","server":"s1","incarnation":2,"checks":true,"from":60}
+{"event":"start","server":"s2","incarnation":3,"checks":true,"from":1}
+{"event":"grant","server":"s2","incarnation":3,"from":50,"until":150,"slots":[{"pool":"p","first":3,"last":3,"token":6}]}
+{"event":"grant","server":"s2","incarnation":3,"from":70,"until":170,"slots":[{"pool":"p","first":3,"last":3,"token":6},{"pool":"p","first":9,"last":9,"token":7}]}
+{"event":"exec","server":"s2","incarnation":3,"pool":"p","slot":3,"token":6,"mark":"c","begin":60,"end":80,"committed":true,"body":"Yw=="}
+{"event":"start","server":"n1","incarnation":4,"from":1}
+{"event":"exec","server":"n1","incarnation":4,"pool":"q","slot":2,"mark":"d","begin":60,"end":80,"committed":true,"body":"ZA=="}
+{"event":"call","mark":"a1","identity":"A","verdict":"may-have-run","begin":15,"end":31,"slot":-1}
+{"event":"call","mark":"a2","identity":"A","verdict":"ran","status":200,"begin":32,"end":40,"body":"YTE=","slot":-1}
+{"event":"call","mark":"b","verdict":"not-run","status":503,"begin":34,"end":46,"slot":-1}
+{"event":"call","mark":"c","verdict":"ran","status":200,"begin":55,"end":81,"body":"Yw==","slot":-1}
+`
+
+func load(t *testing.T, lines string) *judge.Record {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "j.jsonl")
+	if err := os.WriteFile(path, []byte(strings.TrimLeft(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, err := judge.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a judge that reports violations of a sound run, or passes because it read nothing.
+func TestSound(t *testing.T) {
+	r := load(t, sound+`{"event":"exec","server":"s2","incarn`)
+	if v := r.All(); len(v) > 0 {
+		t.Errorf("violations of a sound run: %v", v)
+	}
+	if v := r.Denied(); len(v) > 0 {
+		t.Errorf("denied: %v", v)
+	}
+	want := judge.Counts{Grants: 4, Executions: 4, Committed: 3, Calls: 4, Ran: 2, NotRun: 1}
+	if got := r.Counts(); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// Guards against a rule that misses the violation it is for. Each case changes one thing of the sound run.
+func TestViolations(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, rule, evidence string }{
+		{"slot given before the earlier grant ended", `"from":50,"until":150`, `"from":39,"until":150`, "overlap", `"from":39`},
+		{"slot given before the lapse", `"from":40,"until":140,"slots":[{"pool":"p","first":4`, `"from":40,"until":140,"slots":[{"pool":"p","first":3`, "overlap", `"until":140`},
+		{"slot given while the earlier process lives", `"incarnation":2,"checks":true,"from":60`, `"incarnation":2,"checks":true,"from":75`, "overlap", `"token":7`},
+		{"began before the grant", `"begin":60,"end":80,"committed":true,"body":"Yw`, `"begin":49,"end":80,"committed":true,"body":"Yw`, "unfenced", `"mark":"c"`},
+		{"committed after revocation", `"end":45,"reason":"token"`, `"end":45,"committed":true`, "unfenced", `"mark":"b"`},
+		{"committed after lapse", `"end":80,"committed":true,"body":"Yw`, `"end":171,"committed":true,"body":"Yw`, "unfenced", `"end":171`},
+		{"lower token", `"slot":3,"token":6,"mark":"c"`, `"slot":3,"token":5,"mark":"c"`, "unfenced", `"mark":"c"`},
+		{"unknown process", `"incarnation":4,"from":1`, `"incarnation":5,"from":1`, "unfenced", `"mark":"d"`},
+		{"two servers at once", `"pool":"q","slot":2,"mark":"d","begin":60`, `"pool":"p","slot":3,"mark":"d","begin":60`, "concurrent", `"mark":"d"`},
+		{"identity committed twice", `"mark":"c","begin"`, `"mark":"c","identity":"A","begin"`, "repeat", `"mark":"a1"`},
+		{"caller's identity committed twice", `"mark":"d","begin"`, `"mark":"a2","begin"`, "repeat", `"mark":"a2"`},
+		{"call committed twice", `"mark":"d","begin"`, `"mark":"c","begin"`, "repeat", `"server":"n1"`},
+		{"not-run and committed", `"mark":"c","verdict":"ran"`, `"mark":"c","verdict":"not-run"`, "not-run", `"begin":60,"end":80`},
+		{"answer cut short", `"end":81,"body":"Yw=="`, `"end":81`, "answer", `"end":81`},
+		{"answer of another request", `"end":40,"body":"YTE="`, `"end":40,"body":"ZA=="`, "answer", `"mark":"a2"`},
+		{"answer without execution", `"mark":"b","verdict":"not-run","status":503`, `"mark":"b","status":200`, "answer", `"mark":"b"`},
+	} {
+		if strings.Count(sound, tc.old) != 1 {
+			t.Fatalf("%s: %q is not unique", tc.name, tc.old)
+		}
+		vs := load(t, strings.Replace(sound, tc.old, tc.new, 1)).All()
+		found := false
+		for _, v := range vs {
+			found = found || v.Rule == tc.rule && strings.Contains(v.String(), tc.evidence) && strings.Contains(v.String(), "j.jsonl:")
+		}
+		if !found {
+			t.Errorf("%s: got %v", tc.name, vs)
+		}
+	}
+}
+
+// Guards against missing a refusal that hides an earlier execution of the same identity.
+func TestDenied(t *testing.T) {
+	r := load(t, strings.Replace(sound, `"mark":"a2","identity":"A","verdict":"ran","status":200`, `"mark":"a2","identity":"A","verdict":"not-run"`, 1))
+	if v := r.Denied(); len(v) != 1 || len(r.All()) != 0 {
+		t.Errorf("denied %v, all %v", v, r.All())
+	}
+}
--- a/internal/stand/trace/trace.go
+++ b/internal/stand/trace/trace.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"path/filepath"
 	"sync"
 
 	"github.com/goccy/go-json"
@@ -63,6 +64,8 @@
 	Hash      string `json:"hash,omitempty"`   // of Exec: SHA-256 of Body in hex
 	Body      []byte `json:"body,omitempty"`   // the answer
 
+	Source string `json:"-"` // set by Read: file and line
+
 	Instance string `json:"instance,omitempty"` // of Call: the instance that the caller asked
 	Verdict  string `json:"verdict,omitempty"`
 	Status   int    `json:"status,omitempty"`
@@ -76,6 +79,15 @@
 	return ts.Nano()
 }
 
+// String returns the event as its line of the journal, after its source.
+func (ev *Event) String() string {
+	line, err := json.Marshal(ev)
+	if err != nil {
+		return err.Error()
+	}
+	return ev.Source + " " + string(line)
+}
+
 // Writer appends events to a file. It may be used by many goroutines. A nil Writer discards events.
 type Writer struct {
 	mu   sync.Mutex
@@ -134,6 +146,7 @@
 		if err := json.Unmarshal(lines.Bytes(), &ev); err != nil {
 			return nil, fmt.Errorf("%s:%d: %w", path, n, err)
 		}
+		ev.Source = fmt.Sprintf("%s:%d", filepath.Base(path), n)
 		out = append(out, ev)
 	}
 	return out, lines.Err()
