Ignore slots and tokens of requests to unkeyed stand-in servers

The daemon's server client sends Slot and Token zero for unkeyed pools. A checking server refused them.

go test -race ./internal/stand/bkend passes.

--- a/internal/stand/bkend/bkend.go
+++ b/internal/stand/bkend/bkend.go
@@ -22,8 +22,8 @@
 // Settings of a server.
 type Settings struct {
 	Name        string
-	Checks      bool          // accepts grants and checks tokens
-	Keyed       bool          // a checking server refuses requests without slot
+	Checks      bool          // accepts grants, and checks tokens if Keyed
+	Keyed       bool          // the pool is keyed: requests have a slot; otherwise their slot and token are ignored
 	Slots       int           // requests that run at once
 	Queue       int           // requests that wait for a slot; more are shed
 	Connections int           // limit; 0 means none
--- a/internal/stand/bkend/bkend_test.go
+++ b/internal/stand/bkend/bkend_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// Guards against a checking server of an unkeyed pool that demands tokens.
+func TestUnkeyed(t *testing.T) {
+	s := start(t, bkend.Settings{Checks: true})
+	if a := s.send("GET", "/x", "", "Pool", "p", "Slot", "0", "Token", "0"); a.status != 200 || a.err != nil {
+		t.Fatalf("status %d, %v", a.status, a.err)
+	}
+	if ev := s.events(trace.Exec); len(ev) != 1 || ev[0].Slot != trace.NoSlot {
+		t.Fatalf("%+v", ev)
+	}
+}
+
 // Guards against answers that differ from the journal without being asked to.
 func TestAnswers(t *testing.T) {
 	s := start(t, bkend.Settings{Size: 300})
--- a/internal/stand/bkend/work.go
+++ b/internal/stand/bkend/work.go
@@ -39,14 +39,14 @@
 	reason string
 }
 
-func parse(c *fiber.Ctx) *job {
+func (s *Server) parse(c *fiber.Ctx) *job {
 	now := time.Now()
 	j := &job{body: c.Body(), arrival: now, stop: make(chan struct{})}
 	j.Event = trace.Event{
 		Kind: trace.Exec, Pool: c.Get("Pool"), Slot: trace.NoSlot, Request: c.Get("Request-Id"), Identity: c.Get("Identity"),
 		Mark: c.Get("Mark"), Rank: c.Get("Rank"), Method: c.Method(), Path: c.OriginalURL(),
 	}
-	if slot, err := strconv.ParseUint(c.Get("Slot"), 10, 32); err == nil {
+	if slot, err := strconv.ParseUint(c.Get("Slot"), 10, 32); err == nil && s.cfg.Keyed {
 		j.Slot = int64(slot)
 	}
 	j.Token, _ = strconv.ParseUint(c.Get("Token"), 10, 64)
@@ -61,7 +61,7 @@
 	if mode == gate.Down {
 		return nil
 	}
-	j := parse(c)
+	j := s.parse(c)
 	s.list(j)
 	defer s.unlist(j)
 	if r := s.enter(j); r != nil {
@@ -150,10 +150,10 @@
 	return t.C, func() { t.Stop() }
 }
 
-// permits checks the token of a keyed request and calls then, with the time of the check, if it is valid. A server
-// that does not check permits everything.
+// permits checks the token of the request and calls then, with the time of the check, if it is valid. A server that
+// does not check, or whose pool is not keyed, permits everything.
 func (s *Server) permits(j *job, then func(now int64)) bool {
-	if s.cfg.Checks && (j.Slot != trace.NoSlot || s.cfg.Keyed) {
+	if s.cfg.Checks && s.cfg.Keyed {
 		return s.grants.Holds(trace.Now, j.Pool, j.Slot, j.Token, then)
 	}
 	then(trace.Now())
@@ -289,6 +289,7 @@
 
 // cancel answers 200 if the work will certainly not be committed, 409 if it has been, and 404 if the request is not here.
 func (s *Server) cancel(c *fiber.Ctx) error {
+	c.Set("Request-Id", c.Get("Request-Id"))
 	s.mu.Lock()
 	j := s.jobs[c.Params("id")]
 	s.mu.Unlock()
--- a/internal/stand/cmds/server.go
+++ b/internal/stand/cmds/server.go
@@ -19,8 +19,8 @@
 	Pool        string         `help:"Pool that the server registers for."`
 	List        netip.AddrPort `help:"Control address of the list to register with. None if left out."`
 	Advertise   netip.AddrPort `help:"Address to register. The service address if left out."`
-	Checks      bool           `help:"Accept grants and check tokens."`
-	Keyed       bool           `help:"Refuse requests without slot when checking."`
+	Checks      bool           `help:"Accept grants, and check tokens if the pool is keyed."`
+	Keyed       bool           `help:"Serve a keyed pool. Otherwise slots and tokens of requests are ignored."`
 	Slots       int            `default:"3" help:"Requests that run at once."`
 	Queue       int            `default:"3" help:"Requests that wait. More are shed."`
 	Connections int            `default:"130" help:"Connection limit. 0 means none."`
