--- /dev/null
+++ b/internal/oper/jsonc/doc.go
@@ -0,0 +1,149 @@
+package jsonc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// maxBytes bounds a document. The tables of 1,200 instances and 10,000 servers take about 2 MB.
+	maxBytes = 16 << 20
+	// maxDepth bounds nesting. The parser is recursive, so unbounded nesting would exhaust the stack, which no
+	// program survives.
+	maxDepth = 32
+	// maxFaults bounds the report on a file that is not of the expected kind at all.
+	maxFaults = 1000
+)
+
+// Doc is one file being read. It collects the faults found. It is not safe for concurrent use.
+type Doc struct {
+	file   string
+	lines  []int // offset of the first byte of each line
+	faults []Fault
+}
+
+// Parse reads a document. The returned node is invalid when data is not JSON with comments; the fault is then in
+// the document.
+func Parse(file string, data []byte) (*Doc, Node) {
+	d := &Doc{file: file, lines: []int{0}}
+	for i, c := range data {
+		if c == '\n' {
+			d.lines = append(d.lines, i+1)
+		}
+	}
+	if off, msg := refuse(data); msg != "" {
+		d.add(off, false, msg)
+		return d, Node{doc: d}
+	}
+	v, err := hujson.Parse(data)
+	if err != nil {
+		d.syntax(err)
+		return d, Node{doc: d}
+	}
+	return d, Node{doc: d, v: &v}
+}
+
+// Faults returns what was found so far, ordered by place.
+func (d *Doc) Faults() []Fault {
+	Sort(d.faults)
+	return d.faults
+}
+
+func (d *Doc) add(offset int, warning bool, message string) {
+	if len(d.faults) >= maxFaults {
+		return
+	}
+	line, found := slices.BinarySearch(d.lines, offset)
+	if found {
+		line++
+	}
+	f := Fault{File: d.file, Line: line, Column: 1 + offset - d.lines[line-1], Message: message, Warning: warning}
+	d.faults = append(d.faults, f)
+}
+
+// syntax records an error of the parser, which names the place in its text.
+func (d *Doc) syntax(err error) {
+	f := Fault{File: d.file, Line: 1, Column: 1, Message: err.Error()}
+	if _, scan := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &f.Line, &f.Column); scan == nil {
+		if inner := errors.Unwrap(err); inner != nil {
+			f.Message = inner.Error()
+		}
+	}
+	d.faults = append(d.faults, f)
+}
+
+// refuse finds what the parser must not be given. The message is empty when there is nothing.
+func refuse(data []byte) (offset int, message string) {
+	if len(data) > maxBytes {
+		return 0, fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(data), maxBytes)
+	}
+	if !utf8.Valid(data) {
+		for offset < len(data) {
+			r, n := utf8.DecodeRune(data[offset:])
+			if r == utf8.RuneError && n == 1 {
+				break
+			}
+			offset += n
+		}
+		return offset, "the file is not valid UTF-8 here"
+	}
+	if offset := tooDeep(data); offset >= 0 {
+		return offset, fmt.Sprintf("more than %d levels of nesting", maxDepth)
+	}
+	return 0, ""
+}
+
+// tooDeep returns the offset of the first bracket nested deeper than maxDepth, or -1.
+func tooDeep(data []byte) int {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '[', '{':
+			if depth++; depth > maxDepth {
+				return i
+			}
+		case ']', '}':
+			depth--
+		case '"':
+			i += stringEnd(data[i:])
+		case '/':
+			i += commentEnd(data[i:])
+		}
+	}
+	return -1
+}
+
+// stringEnd returns the offset of the quote that ends the string at the start of b, or the last offset.
+func stringEnd(b []byte) int {
+	for i := 1; i < len(b); i++ {
+		switch b[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return len(b) - 1
+}
+
+// commentEnd returns the offset of the last byte of the comment at the start of b, or 0 if there is none.
+func commentEnd(b []byte) int {
+	end, skip := []byte("\n"), 0
+	switch {
+	case bytes.HasPrefix(b, []byte("//")):
+	case bytes.HasPrefix(b, []byte("/*")):
+		end, skip = []byte("*/"), 2
+	default:
+		return 0
+	}
+	n := bytes.Index(b[skip:], end)
+	if n < 0 {
+		return len(b) - 1
+	}
+	return skip + n + len(end) - 1
+}
--- /dev/null
+++ b/internal/oper/jsonc/fault.go
@@ -0,0 +1,43 @@
+// Package jsonc reads JSON with comments into typed values and reports every fault of a document in one pass, each
+// with the place of the faulty value.
+package jsonc
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Fault is one thing wrong in a file.
+type Fault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`   // from 1; 0 when the fault has no place in the file
+	Column  int    `json:"column"` // in bytes, from 1
+	Message string `json:"message"`
+	// Warning marks a fault that does not make the file invalid.
+	Warning bool `json:"warning,omitempty"`
+}
+
+// String returns the fault as file:line:column: message.
+func (f Fault) String() string {
+	kind := ""
+	if f.Warning {
+		kind = "warning: "
+	}
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s%s", f.File, kind, f.Message)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s%s", f.File, f.Line, f.Column, kind, f.Message)
+}
+
+// Invalid reports whether one of the faults is more than a warning.
+func Invalid(faults []Fault) bool {
+	return slices.ContainsFunc(faults, func(f Fault) bool { return !f.Warning })
+}
+
+// Sort orders the faults of one file by place. Faults of one place keep their order.
+func Sort(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
--- /dev/null
+++ b/internal/oper/jsonc/object.go
@@ -0,0 +1,51 @@
+package jsonc
+
+import (
+	"slices"
+
+	"github.com/tailscale/hujson"
+)
+
+// Object is an object whose fields have been checked against the known names.
+type Object struct {
+	Node
+	fields map[string]Node
+}
+
+// Object reads an object. Fields other than known, and fields given twice, are faults.
+func (n Node) Object(known ...string) Object {
+	o := Object{Node: n, fields: make(map[string]Node)}
+	if !n.kind('{', "an object") {
+		o.v = nil
+		return o
+	}
+	members := n.v.Value.(*hujson.Object).Members
+	for i := range members {
+		key := Node{n.doc, &members[i].Name}
+		name := key.Text()
+		switch _, twice := o.fields[name]; {
+		case twice:
+			key.Fault("field %s is given twice", Quote(name))
+		case !slices.Contains(known, name):
+			key.Fault("unknown field %s%s", Quote(name), Hint(name, known))
+		default:
+			o.fields[name] = Node{n.doc, &members[i].Value}
+		}
+	}
+	return o
+}
+
+// Get returns a field, or an invalid node if it is absent.
+func (o Object) Get(name string) Node { return o.fields[name] }
+
+// Has reports whether the field is given.
+func (o Object) Has(name string) bool { return o.fields[name].Valid() }
+
+// Must returns a field and records a fault if it is absent.
+func (o Object) Must(name string) Node {
+	n := o.fields[name]
+	if !n.Valid() && o.Valid() {
+		o.Fault("field %q is missing", name)
+	}
+	return n
+}
--- a/internal/oper/tables/tables.go
+++ b/internal/oper/tables/tables.go
@@ -13,6 +13,7 @@
 	Routes  []Route // in order of precedence: the first match wins
 	Pools   []Pool
 	Regions []Region
+	Lost    []string // data centres that the operators declare destroyed
 }
 
 // Rank is a class of work. Ranks are listed most urgent first.
