--- /dev/null
+++ b/internal/oper/config/read.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+)
+
+var fields = []string{
+	"instance", "dc", "region", "caller", "peer", "admin", "advertise", "log", "list", "seeds",
+	"linger", "budget", "debug", "limits",
+}
+
+const (
+	maxLinger = 10 * time.Minute
+	// maxBudget is far above the several hundred appends a second that the log service sustains.
+	maxBudget      = 10_000
+	maxConnections = 1 << 20
+	maxSize        = 1 << 30
+	maxIdle        = time.Hour
+)
+
+func defaults() *Config {
+	return &Config{
+		Linger: 2 * time.Second,
+		Budget: 200,
+		Limits: Limits{Header: 8 << 10, Body: 1 << 20, Connections: 1000, Idle: time.Minute, Read: 5 * time.Second},
+	}
+}
+
+func read(root jsonc.Node) *Config {
+	o := root.Object(fields...)
+	cfg := defaults()
+	cfg.Instance, cfg.DC, cfg.Region = o.Must("instance").Name(), o.Must("dc").Name(), o.Must("region").Name()
+	cfg.Caller, cfg.Peer, cfg.Admin = o.Must("caller").Address(), o.Must("peer").Address(), o.Must("admin").Address()
+	cfg.Log, cfg.List = remote(o.Must("log")), remote(o.Must("list"))
+	readPeers(o, cfg)
+	apart(o, cfg)
+	if o.Has("linger") {
+		cfg.Linger = o.Get("linger").Duration(maxLinger)
+	}
+	if o.Has("budget") {
+		cfg.Budget = o.Get("budget").Int(1, maxBudget)
+	}
+	readDebug(o.Get("debug"), cfg)
+	if o.Has("limits") {
+		readLimits(o.Get("limits"), &cfg.Limits)
+	}
+	return cfg
+}
+
+// remote reads an address to connect to.
+func remote(n jsonc.Node) netip.AddrPort {
+	a := n.Address()
+	if a.IsValid() && (a.Port() == 0 || a.Addr().IsUnspecified()) {
+		n.Fault("%s cannot be connected to", a)
+	}
+	return a
+}
+
+func readPeers(o jsonc.Object, cfg *Config) {
+	if o.Has("advertise") {
+		cfg.Advertise = remote(o.Get("advertise"))
+	} else if cfg.Peer.IsValid() && cfg.Peer.Addr().IsUnspecified() {
+		o.Get("peer").Fault("%s listens on all addresses, so advertise must name the one that other instances use", cfg.Peer)
+	}
+	if !o.Has("seeds") {
+		return
+	}
+	for _, n := range o.Get("seeds").Array() {
+		if a := remote(n); a.IsValid() && !slices.Contains(cfg.Seeds, a) {
+			cfg.Seeds = append(cfg.Seeds, a)
+		}
+	}
+}
+
+// apart checks that the three listeners do not take each other's port.
+func apart(o jsonc.Object, cfg *Config) {
+	taken := map[netip.AddrPort]string{}
+	for _, l := range []struct {
+		name string
+		at   netip.AddrPort
+	}{{"caller", cfg.Caller}, {"peer", cfg.Peer}, {"admin", cfg.Admin}} {
+		if l.at.Port() == 0 {
+			continue
+		}
+		if other := taken[l.at]; other != "" {
+			o.Get(l.name).Fault("%s is the address of %s too", l.at, other)
+		}
+		taken[l.at] = l.name
+	}
+}
+
+func readDebug(n jsonc.Node, cfg *Config) {
+	for _, e := range n.Array() {
+		name := e.Text()
+		if e.Is('"') && !slices.Contains(Subsystems, name) {
+			e.Fault("unknown subsystem %s%s", jsonc.Quote(name), jsonc.Hint(name, Subsystems))
+		}
+		cfg.Debug = append(cfg.Debug, name)
+	}
+}
+
+func readLimits(n jsonc.Node, l *Limits) {
+	o := n.Object("header", "body", "connections", "idle", "read")
+	if o.Has("header") {
+		l.Header = size(o.Get("header"))
+	}
+	if o.Has("body") {
+		l.Body = size(o.Get("body"))
+	}
+	if o.Has("connections") {
+		l.Connections = o.Get("connections").Int(1, maxConnections)
+	}
+	if o.Has("idle") {
+		l.Idle = o.Get("idle").Duration(maxIdle)
+	}
+	if o.Has("read") {
+		l.Read = o.Get("read").Duration(maxIdle)
+	}
+}
+
+// size reads a number of bytes, as a number or a string such as "8KiB".
+func size(n jsonc.Node) int {
+	if n.Is('0') {
+		return n.Int(1, maxSize)
+	}
+	s := n.Text()
+	if !n.Is('"') {
+		return 0
+	}
+	for _, unit := range []struct {
+		name  string
+		bytes int
+	}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}} {
+		digits, ok := strings.CutSuffix(s, unit.name)
+		if !ok {
+			continue
+		}
+		if v, err := strconv.ParseUint(strings.TrimSpace(digits), 10, 31); err == nil && v > 0 && int(v) <= maxSize/unit.bytes {
+			return int(v) * unit.bytes
+		}
+		break
+	}
+	n.Fault(`%s is no size up to 1GiB; write it as "512B", "8KiB" or "1MiB"`, jsonc.Quote(s))
+	return 0
+}
