--- /dev/null
+++ b/internal/oper/events/events.go
@@ -0,0 +1,116 @@
+// Package events writes what happens in an instance as one line of key=value pairs per event: time, level and event
+// name first, then the pairs sorted by key.
+package events
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Logger writes events. It may be used by many goroutines. A nil Logger writes nothing.
+type Logger struct {
+	out   zerolog.Logger
+	clock func() time.Time
+	debug []string
+	sub   string
+}
+
+// New returns a logger that writes to w, which gets one Write call per event. Debug events are written for the
+// subsystems listed in debug alone.
+func New(w io.Writer, clock func() time.Time, debug []string) *Logger {
+	line := zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatTimestamp: part("time"),
+		FormatLevel:     part("level"),
+		FormatMessage:   part("event"),
+		FormatErrFieldName: func(any) string {
+			return "error="
+		},
+		FormatErrFieldValue: func(v any) string { return fmt.Sprint(v) },
+	}
+	// The console writer shares no state between writes, but its target may be a buffer.
+	return &Logger{out: zerolog.New(zerolog.SyncWriter(line)), clock: clock, debug: debug}
+}
+
+func part(key string) zerolog.Formatter {
+	return func(v any) string {
+		s := fmt.Sprint(v)
+		if quoted := strconv.Quote(s); len(quoted) > len(s)+2 || slices.Contains([]byte(s), ' ') {
+			s = quoted
+		}
+		return key + "=" + s
+	}
+}
+
+// For returns a logger that adds the subsystem to each event and follows its debug switch.
+func (l *Logger) For(subsystem string) *Logger {
+	if l == nil {
+		return nil
+	}
+	sub := *l
+	sub.sub = subsystem
+	return &sub
+}
+
+// Debugging reports whether debug events of this subsystem are written, for callers to whom the pairs cost
+// something.
+func (l *Logger) Debugging() bool { return l != nil && slices.Contains(l.debug, l.sub) }
+
+// Debug writes an event that matters only in the search for a fault. pairs are keys, which are strings, and values
+// in turn, here and below.
+func (l *Logger) Debug(event string, pairs ...any) {
+	if l.Debugging() {
+		l.write(zerolog.DebugLevel, event, pairs)
+	}
+}
+
+// Info writes an event of normal operation.
+func (l *Logger) Info(event string, pairs ...any) { l.write(zerolog.InfoLevel, event, pairs) }
+
+// Warn writes an event that an operator should know and that the system handles by itself.
+func (l *Logger) Warn(event string, pairs ...any) { l.write(zerolog.WarnLevel, event, pairs) }
+
+// Error writes an event that needs an operator.
+func (l *Logger) Error(event string, pairs ...any) { l.write(zerolog.ErrorLevel, event, pairs) }
+
+func (l *Logger) write(level zerolog.Level, event string, pairs []any) {
+	if l == nil {
+		return
+	}
+	e := l.out.WithLevel(level).Str(zerolog.TimestampFieldName, l.clock().UTC().Format(timeFormat))
+	if l.sub != "" {
+		e = e.Str("subsystem", l.sub)
+	}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		e = add(e, fmt.Sprint(pairs[i]), pairs[i+1])
+	}
+	e.Msg(event)
+}
+
+// timeFormat has a fixed width, so that lines can be sorted as text.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// add writes numbers and booleans as such and everything else as fmt prints it.
+func add(e *zerolog.Event, key string, value any) *zerolog.Event {
+	switch v := value.(type) {
+	case nil:
+		return e.Str(key, "")
+	case bool:
+		return e.Bool(key, v)
+	case int:
+		return e.Int(key, v)
+	case uint64:
+		return e.Uint64(key, v)
+	case string:
+		return e.Str(key, v)
+	default:
+		return e.Str(key, fmt.Sprint(v))
+	}
+}
--- /dev/null
+++ b/internal/oper/events/events_test.go
@@ -0,0 +1,53 @@
+package events_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/events"
+)
+
+func clock() time.Time { return time.Date(2026, 5, 4, 3, 2, 1, 7e6, time.UTC) }
+
+func ExampleLogger() {
+	log := events.New(os.Stdout, clock, []string{"place"})
+	log.Info("started", "instance", "i1", "peer", netip.MustParseAddrPort("127.0.0.1:80"), "note", "two words")
+	log.For("place").Debug("slot-moved", "slot", uint64(7), "took", 30*time.Millisecond)
+	log.For("flow").Debug("not written")
+	log.Error("append-failed", "error", errors.New("line 1\nline 2"), "again", true)
+	// Output:
+	// time=2026-05-04T03:02:01.007Z level=info event=started instance=i1 note="two words" peer=127.0.0.1:80
+	// time=2026-05-04T03:02:01.007Z level=debug event=slot-moved slot=7 subsystem=place took=30ms
+	// time=2026-05-04T03:02:01.007Z level=error event=append-failed error="line 1\nline 2" again=true
+}
+
+// TestNil guards the use of packages without a logger.
+func TestNil(*testing.T) {
+	var log *events.Logger
+	log.For("place").Warn("dropped")
+	log.Debug("dropped")
+}
+
+// TestConcurrent guards against lines that interleave.
+func TestConcurrent(t *testing.T) {
+	var buf bytes.Buffer
+	log, wg := events.New(&buf, clock, nil), sync.WaitGroup{}
+	for range 8 {
+		wg.Go(func() {
+			for range 50 {
+				log.Info("e", "k", "v")
+			}
+		})
+	}
+	wg.Wait()
+	want := strings.Repeat("time=2026-05-04T03:02:01.007Z level=info event=e k=v\n", 400)
+	if buf.String() != want {
+		t.Errorf("lines are damaged: %q", buf.String()[:100])
+	}
+}
