--- /dev/null
+++ b/internal/oper/pubsvc/reader.go
@@ -0,0 +1,205 @@
+package pubsvc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+const (
+	readLimit   = 256 // records a read
+	readTimeout = 5 * time.Second
+)
+
+// errTrimmed means that records were trimmed before they could be read.
+var errTrimmed = errors.New("records were trimmed before they were read")
+
+// valid is the check that every instance applies to a publication.
+func valid(routes, pools []byte) error {
+	if _, faults := tables.Parse(routes, pools); jsonc.Invalid(faults) {
+		return &ErrFaults{Faults: faults}
+	}
+	return nil
+}
+
+// reader folds one stream up to its present end. Its functions act on a fold.
+type reader struct {
+	svc    *Service
+	stream string
+	offset func() uint64
+	apply  func(offset uint64, rec *record.Record)
+	adopt  func(s *record.Snapshot) bool
+}
+
+// config returns a reader of the config stream; seen gets each publication that the fold accepts.
+func (s *Service) config(c *fold.Config, seen func(fold.Publication)) *reader {
+	return &reader{
+		svc: s, stream: configStream, offset: c.Offset,
+		apply: func(offset uint64, rec *record.Record) {
+			if c.Apply(offset, rec, valid) == fold.Applied && seen != nil {
+				seen(c.Publication)
+			}
+		},
+		adopt: func(sn *record.Snapshot) bool {
+			if sn.GetConfig() == nil || !c.Adopt(sn.GetAsof(), sn.GetConfig()) {
+				return false
+			}
+			if seen != nil {
+				seen(c.Publication)
+			}
+			return true
+		},
+	}
+}
+
+func (s *Service) place(p *fold.Place) *reader {
+	return &reader{
+		svc: s, stream: placeStream, offset: p.Offset,
+		apply: func(offset uint64, rec *record.Record) { p.Apply(offset, rec) },
+		adopt: func(sn *record.Snapshot) bool {
+			return sn.GetPlace() != nil && p.Adopt(sn.GetAsof(), sn.GetPlace())
+		},
+	}
+}
+
+// catchUp folds all records that the stream holds now.
+func (r *reader) catchUp(ctx context.Context) error {
+	if r.offset() == 0 {
+		if err := r.begin(ctx); err != nil {
+			return err
+		}
+	}
+	for {
+		b, err := r.read(ctx, r.offset()+1)
+		if err != nil {
+			return err
+		}
+		if fold.Gap(r.offset(), b.First) {
+			return errTrimmed
+		}
+		for _, rec := range b.Records {
+			r.apply(rec.Offset, fold.Decode(rec.Data))
+		}
+		if r.offset()+1 >= b.Next {
+			return nil
+		}
+		if len(b.Records) == 0 {
+			return fmt.Errorf("stream %q ends at offset %d, but its next offset is %d", r.stream, r.offset(), b.Next)
+		}
+	}
+}
+
+func (r *reader) read(ctx context.Context, from uint64) (logsvc.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.svc.Read(ctx, r.stream, from, 0, readLimit)
+}
+
+// begin finds the snapshot to start from when the oldest records have been trimmed.
+func (r *reader) begin(ctx context.Context) error {
+	for from := uint64(1); ; {
+		b, err := r.read(ctx, from)
+		if err != nil {
+			return err
+		}
+		if b.First <= 1 {
+			return nil
+		}
+		if len(b.Records) == 0 && from < b.First && b.First < b.Next {
+			from = b.First
+			continue
+		}
+		if len(b.Records) == 0 {
+			return fmt.Errorf("stream %q is trimmed below offset %d and holds no snapshot that covers the loss", r.stream, b.First)
+		}
+		if r.adoptOne(b) {
+			return nil
+		}
+		from = b.Records[len(b.Records)-1].Offset + 1
+	}
+}
+
+// adoptOne starts the fold from the first usable snapshot of a batch.
+func (r *reader) adoptOne(b logsvc.Batch) bool {
+	for _, rec := range b.Records {
+		sn := fold.Decode(rec.Data).GetSnapshot()
+		if sn != nil && fold.Covers(sn.GetAsof(), b.First) && r.adopt(sn) {
+			return true
+		}
+	}
+	return false
+}
+
+// attempts bounds how often a reader starts anew when trimming overtakes it.
+const attempts = 3
+
+// Current returns the fold of the config stream as it is now.
+func (s *Service) Current(ctx context.Context) (*fold.Config, error) {
+	return s.history(ctx, nil)
+}
+
+// history folds the config stream and shows each accepted publication still retained to seen.
+func (s *Service) history(ctx context.Context, seen func(fold.Publication)) (*fold.Config, error) {
+	var err error
+	for range attempts {
+		c := new(fold.Config)
+		if err = s.config(c, seen).catchUp(ctx); err == nil {
+			return c, nil
+		}
+		if !errors.Is(err, errTrimmed) {
+			break
+		}
+	}
+	return nil, &ErrPlatform{Cause: err}
+}
+
+// Version returns one publication that the log still holds; 0 stands for the version in force.
+func (s *Service) Version(ctx context.Context, version uint64) (fold.Publication, error) {
+	var found fold.Publication
+	c, err := s.history(ctx, func(p fold.Publication) {
+		if p.Version == version {
+			found = p
+		}
+	})
+	switch {
+	case err != nil:
+		return found, err
+	case version == 0:
+		return c.Publication, nil
+	case found.Version == 0:
+		return found, &ErrVersion{Version: version, Current: c.Version}
+	}
+	return found, nil
+}
+
+// ErrVersion means that the log holds no accepted publication of that version.
+type ErrVersion struct {
+	Version, Current uint64
+}
+
+// Error names the version in force too.
+func (e *ErrVersion) Error() string {
+	return fmt.Sprintf("the log holds no accepted version %d; version %d is in force", e.Version, e.Current)
+}
+
+// Placement returns the fold of the place stream as it is now.
+func (s *Service) Placement(ctx context.Context) (*fold.Place, error) {
+	var err error
+	for range attempts {
+		p := new(fold.Place)
+		if err = s.place(p).catchUp(ctx); err == nil {
+			return p, nil
+		}
+		if !errors.Is(err, errTrimmed) {
+			break
+		}
+	}
+	return nil, &ErrPlatform{Cause: err}
+}
