--- a/cmd/bramleycove/main.go
+++ b/cmd/bramleycove/main.go
@@ -1,4 +1,30 @@
 // Command bramleycove is the daemon that runs on every instance, and the operator's command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/bramleycove/bramleycove/internal/oper/cmds"
+	"github.com/bramleycove/bramleycove/internal/oper/config"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := cmds.New(os.Stdout, os.Stderr, version(), serve).Run(ctx, os.Args[1:])
+	cancel()
+	os.Exit(code)
+}
+
+func serve(context.Context, *config.Config) error { return errors.New("serve is not wired up yet") }
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "(devel)"
+}
--- /dev/null
+++ b/internal/oper/cmds/check.go
@@ -0,0 +1,89 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/bramleycove/bramleycove/internal/oper/config"
+	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+// files are the two tables as files.
+type files struct {
+	Routes string `and:"tables" placeholder:"FILE" help:"Route table."`
+	Pools  string `and:"tables" placeholder:"FILE" help:"Pool table."`
+}
+
+// read returns the content of both files. A file that cannot be read is a fault.
+func (f *files) read() (routes, pools []byte, err error) {
+	var faults []jsonc.Fault
+	read := func(path string) []byte {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			faults = append(faults, jsonc.Fault{File: path, Message: err.Error()})
+		}
+		return data
+	}
+	routes, pools = read(f.Routes), read(f.Pools)
+	if len(faults) > 0 {
+		return nil, nil, &pubsvc.ErrFaults{Faults: faults}
+	}
+	return routes, pools, nil
+}
+
+// names maps the names of the tables to those of the files.
+func (f *files) names() map[string]string {
+	return map[string]string{tables.RoutesFile: f.Routes, tables.PoolsFile: f.Pools}
+}
+
+type check struct {
+	files
+	Settings []string `placeholder:"FILE" help:"Settings of an instance; may be repeated."`
+	JSON     bool     `name:"json" help:"Write JSON."`
+}
+
+// Run prints every fault of the files given.
+func (c *check) Run(a *App) error {
+	if c.Routes == "" && len(c.Settings) == 0 {
+		return &errUsage{"nothing to check: give --routes and --pools, or --settings"}
+	}
+	var faults []jsonc.Fault
+	var checked *tables.Tables
+	if c.Routes != "" {
+		routes, pools, err := c.read()
+		if err != nil {
+			return err
+		}
+		checked, faults = tables.Parse(routes, pools)
+		pubsvc.Rename(faults, c.names())
+	}
+	for _, path := range c.Settings {
+		cfg, found := config.Load(path)
+		faults = append(faults, found...)
+		if cfg != nil && checked != nil && !places(checked, cfg) {
+			faults = append(faults, jsonc.Fault{
+				File: path, Message: fmt.Sprintf("region %q with data centre %q is not in the pool table", cfg.Region, cfg.DC),
+			})
+		}
+	}
+	if c.JSON {
+		if err := a.printJSON(map[string][]jsonc.Fault{"faults": slices.Concat([]jsonc.Fault{}, faults)}); err != nil {
+			return err
+		}
+	}
+	if jsonc.Invalid(faults) {
+		return &pubsvc.ErrFaults{Faults: faults}
+	}
+	a.printFaults(faults)
+	return nil
+}
+
+// places reports whether the tables know the instance's data centre in its region.
+func places(t *tables.Tables, cfg *config.Config) bool {
+	return slices.ContainsFunc(t.Regions, func(r tables.Region) bool {
+		return r.Name == cfg.Region && slices.Contains(r.DCs, cfg.DC)
+	})
+}
--- /dev/null
+++ b/internal/oper/cmds/cmds.go
@@ -0,0 +1,174 @@
+// Package cmds is the command line of bramleycove: one type per command, each in a file of its name.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/goccy/go-json"
+
+	"github.com/bramleycove/bramleycove/internal/oper/config"
+	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+	"github.com/bramleycove/bramleycove/internal/oper/opapi"
+	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+)
+
+// Exit codes.
+const (
+	ExitDone        = 0
+	ExitFaults      = 1 // faults in tables, settings or the command's own work
+	ExitUsage       = 2
+	ExitLost        = 3 // another version was accepted on the same base
+	ExitUnconfirmed = 4 // accepted, but not every instance has confirmed it
+	ExitPlatform    = 5 // log, list or instance unreachable
+)
+
+// App runs commands. All fields must be set.
+type App struct {
+	Stdout, Stderr io.Writer
+	Version        string
+	// Serve runs an instance until ctx ends and returns nil after a graceful stop.
+	Serve func(ctx context.Context, cfg *config.Config) error
+	// Service returns the publishing engine for the platform at these addresses.
+	Service func(logAddr, list netip.AddrPort) *pubsvc.Service
+	// Explain asks the operator interface at addr.
+	Explain func(ctx context.Context, addr netip.AddrPort, method, path, key string) (opapi.Explanation, error)
+}
+
+// New returns an app that works on the real platform.
+func New(stdout, stderr io.Writer, version string, serve func(context.Context, *config.Config) error) *App {
+	return &App{
+		Stdout: stdout, Stderr: stderr, Version: version, Serve: serve,
+		Service: pubsvc.New, Explain: opapi.NewClient().Explain,
+	}
+}
+
+// grammar lists the commands in the order of --help.
+type grammar struct {
+	Serve   serve   `cmd:"" help:"Run an instance until it is told to stop."`
+	Check   check   `cmd:"" help:"Check tables and settings without the platform."`
+	Publish publish `cmd:"" help:"Put new tables in force."`
+	Diff    diff    `cmd:"" help:"Show what changes between two versions of the tables."`
+	Status  status  `cmd:"" help:"Show what the instances say of themselves."`
+	Explain explain `cmd:"" help:"Show where a request would go and why."`
+	Version version `cmd:"" help:"Show the version of this program."`
+}
+
+// stop is what the parser's exit function panics with, to leave parsing after --help.
+type stop int
+
+// Run runs the command that args name, without the program's name, and returns the exit code.
+func (a *App) Run(ctx context.Context, args []string) (code int) {
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case stop:
+			code = int(r)
+		default:
+			panic(r)
+		}
+	}()
+	parser, err := kong.New(new(grammar),
+		kong.Name("bramleycove"),
+		kong.Description("Request router for backend servers that own keys exclusively."),
+		kong.Writers(a.Stdout, a.Stderr),
+		kong.Exit(func(code int) { panic(stop(code)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		return a.fail(err)
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		return a.fail(&errUsage{err.Error()})
+	}
+	if err := command.Run(a); err != nil {
+		return a.fail(err)
+	}
+	return ExitDone
+}
+
+// errUsage is a wrong combination of arguments.
+type errUsage struct{ message string }
+
+// Error returns the message.
+func (e *errUsage) Error() string { return e.message + " (see --help)" }
+
+// errUnconfirmed lists instances that do not have an accepted version in force.
+type errUnconfirmed struct {
+	version uint64
+	names   []string
+	cause   error // of the list, if it was unreachable
+}
+
+// Error names the instances.
+func (e *errUnconfirmed) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("version %d is accepted, but nobody could be asked whether it is in force: %v", e.version, e.cause)
+	}
+	return fmt.Sprintf("version %d is accepted, but not confirmed by %s", e.version, strings.Join(e.names, ", "))
+}
+
+// fail prints err and returns its exit code.
+func (a *App) fail(err error) int {
+	if faults := new(pubsvc.ErrFaults); errors.As(err, &faults) {
+		a.printFaults(faults.Faults)
+	}
+	fmt.Fprintln(a.Stderr, "bramleycove:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.As(err, new(*errUsage)), errors.As(err, new(*pubsvc.ErrVersion)):
+		return ExitUsage
+	case errors.As(err, new(*pubsvc.ErrLost)):
+		return ExitLost
+	case errors.As(err, new(*errUnconfirmed)):
+		return ExitUnconfirmed
+	case errors.As(err, new(*pubsvc.ErrPlatform)):
+		return ExitPlatform
+	}
+	return ExitFaults
+}
+
+func (a *App) printFaults(faults []jsonc.Fault) {
+	for _, f := range faults {
+		fmt.Fprintln(a.Stderr, f)
+	}
+}
+
+// printJSON writes v for programs.
+func (a *App) printJSON(v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(a.Stdout, "%s\n", data)
+	return err
+}
+
+// settings reads the settings file. Its faults become an error.
+func (a *App) settings(path string) (*config.Config, error) {
+	cfg, faults := config.Load(path)
+	if cfg == nil {
+		return nil, &pubsvc.ErrFaults{Faults: faults}
+	}
+	a.printFaults(faults)
+	return cfg, nil
+}
+
+// platform returns the engine for the platform that the settings file names.
+func (a *App) platform(path string) (*pubsvc.Service, error) {
+	cfg, err := a.settings(path)
+	if err != nil {
+		return nil, err
+	}
+	return a.Service(cfg.Log, cfg.List), nil
+}
--- /dev/null
+++ b/internal/oper/cmds/diff.go
@@ -0,0 +1,95 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+type diff struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings that name the log."`
+	files
+	From uint64 `arg:"" optional:"" help:"Older version; by default the one in force."`
+	To   uint64 `arg:"" optional:"" help:"Newer version, if no files are given; by default the one in force."`
+	JSON bool   `name:"json" help:"Write JSON."`
+}
+
+// differences is the JSON output of diff.
+type differences struct {
+	From    uint64          `json:"from"`
+	To      uint64          `json:"to"` // 0 for files
+	Changes []pubsvc.Change `json:"changes"`
+	Moves   []pubsvc.Moves  `json:"moves"`
+}
+
+// Run prints the differences.
+func (c *diff) Run(ctx context.Context, a *App) error {
+	if c.Routes == "" && c.From == 0 {
+		return &errUsage{"nothing to compare with: give --routes and --pools, or a version"}
+	}
+	if c.Routes != "" && c.To != 0 {
+		return &errUsage{"the newer tables are given twice: as files and as a version"}
+	}
+	svc, err := a.platform(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	older, err := svc.Version(ctx, c.From)
+	if err != nil {
+		return err
+	}
+	out := differences{From: older.Version, Changes: []pubsvc.Change{}, Moves: []pubsvc.Moves{}}
+	next, err := c.newer(ctx, svc, &out)
+	if err != nil {
+		return err
+	}
+	old, _ := tables.Parse(older.Routes, older.Pools)
+	out.Changes = append(out.Changes, pubsvc.Diff(old, next)...)
+	if now, err := svc.Placement(ctx); err != nil {
+		fmt.Fprintln(a.Stderr, "bramleycove: the moves of slots are unknown:", err)
+	} else {
+		out.Moves = append(out.Moves, pubsvc.Movement(next, now)...)
+	}
+	if c.JSON {
+		return a.printJSON(out)
+	}
+	return c.print(a, &out)
+}
+
+// newer returns the tables from the files or from the log.
+func (c *diff) newer(ctx context.Context, svc *pubsvc.Service, out *differences) (*tables.Tables, error) {
+	var routes, pools []byte
+	var err error
+	if c.Routes != "" {
+		routes, pools, err = c.read()
+	} else {
+		p, failed := svc.Version(ctx, c.To)
+		routes, pools, err, out.To = p.Routes, p.Pools, failed, p.Version
+	}
+	if err != nil {
+		return nil, err
+	}
+	next, faults := tables.Parse(routes, pools)
+	if next == nil {
+		pubsvc.Rename(faults, c.names())
+		return nil, &pubsvc.ErrFaults{Faults: faults}
+	}
+	return next, nil
+}
+
+func (c *diff) print(a *App, out *differences) error {
+	if len(out.Changes) == 0 {
+		fmt.Fprintln(a.Stdout, "the tables say the same")
+	}
+	for _, change := range out.Changes {
+		fmt.Fprintln(a.Stdout, change)
+	}
+	for _, m := range out.Moves {
+		fmt.Fprintln(a.Stdout, m)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/oper/cmds/explain.go
@@ -0,0 +1,71 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/bramleycove/bramleycove/internal/oper/opapi"
+	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+)
+
+type explain struct {
+	Settings string         `placeholder:"FILE" help:"Settings of the instance to ask."`
+	Admin    netip.AddrPort `placeholder:"IP:PORT" help:"Operator interface to ask instead."`
+	Path     string         `required:"" help:"Path of the request."`
+	Method   string         `default:"GET" help:"Method of the request."`
+	Key      string         `help:"Key, where the route does not take it from the path."`
+	JSON     bool           `name:"json" help:"Write JSON."`
+}
+
+// Run asks one instance.
+func (c *explain) Run(ctx context.Context, a *App) error {
+	addr := c.Admin
+	if !addr.IsValid() {
+		if c.Settings == "" {
+			return &errUsage{"give --settings or --admin"}
+		}
+		cfg, err := a.settings(c.Settings)
+		if err != nil {
+			return err
+		}
+		addr = cfg.Admin
+	}
+	if addr.Port() == 0 {
+		return &errUsage{"the settings leave the port of the operator interface open, so give --admin"}
+	}
+	e, err := a.Explain(ctx, addr, c.Method, c.Path, c.Key)
+	if err != nil {
+		return &pubsvc.ErrPlatform{Cause: err}
+	}
+	if c.JSON {
+		return a.printJSON(e)
+	}
+	return printExplanation(a, &e)
+}
+
+func printExplanation(a *App, e *opapi.Explanation) error {
+	w := tabwriter.NewWriter(a.Stdout, 0, 0, 2, ' ', 0)
+	line := func(name string, value any) { fmt.Fprintf(w, "%s\t%v\n", name, value) }
+	if e.Route != "" {
+		line("route", e.Route)
+		line("rank", e.Rank)
+		line("pool", e.Pool)
+	}
+	if e.Key != "" {
+		line("key", e.Key)
+		line("slot", e.Slot)
+		line("home", e.Home)
+		line("owner", e.Owner)
+		line("token", e.Token)
+	}
+	if e.Lane != "" {
+		line("lane", e.Lane)
+		line("dispatcher", e.Dispatcher)
+	}
+	if e.Reason != "" {
+		line("refused", e.Reason)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/oper/cmds/publish.go
@@ -0,0 +1,130 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+)
+
+// logTimeout bounds how long publish tries to learn the outcome from the log.
+const logTimeout = 10 * time.Second
+
+type publish struct {
+	Settings string        `required:"" placeholder:"FILE" help:"Settings that name the log and the list."`
+	Routes   string        `required:"" placeholder:"FILE" help:"Route table."`
+	Pools    string        `required:"" placeholder:"FILE" help:"Pool table."`
+	Base     *uint64       `placeholder:"N" help:"Version that the tables were built on; by default the one in force now."`
+	Wait     time.Duration `default:"10s" help:"How long to wait for all instances to confirm; 0 to not wait."`
+	JSON     bool          `name:"json" help:"Write JSON."`
+}
+
+// published is the JSON output of publish.
+type published struct {
+	Outcome   string          `json:"outcome"` // accepted, unchanged, lost, unconfirmed, faults or unreachable
+	Version   uint64          `json:"version"` // accepted, or the winner if lost
+	Current   uint64          `json:"current"` // in force when publish read the log
+	Confirmed int             `json:"confirmed"`
+	Behind    []pubsvc.Report `json:"behind,omitempty"`
+	Faults    []jsonc.Fault   `json:"faults,omitempty"`
+	Error     string          `json:"error,omitempty"`
+}
+
+// Run publishes and reports the outcome.
+func (c *publish) Run(ctx context.Context, a *App) error {
+	var out published
+	err := c.publish(ctx, a, &out)
+	if c.JSON {
+		out.failed(err)
+		if err := a.printJSON(out); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *publish) publish(ctx context.Context, a *App, out *published) error {
+	f := files{Routes: c.Routes, Pools: c.Pools}
+	routes, pools, err := f.read()
+	if err != nil {
+		return err
+	}
+	svc, err := a.platform(c.Settings)
+	if err != nil {
+		return err
+	}
+	req := pubsvc.Request{Routes: routes, Pools: pools}
+	if c.Base != nil {
+		req.Base, req.Based = *c.Base, true
+	}
+	logCtx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	accepted, err := svc.Publish(logCtx, req)
+	if faults := new(pubsvc.ErrFaults); errors.As(err, &faults) {
+		pubsvc.Rename(faults.Faults, f.names())
+	}
+	if err != nil {
+		return err
+	}
+	pubsvc.Rename(accepted.Warnings, f.names())
+	a.printFaults(accepted.Warnings)
+	out.Outcome, out.Version, out.Current, out.Faults = "accepted", accepted.Version, accepted.Current, accepted.Warnings
+	switch {
+	case accepted.Unchanged:
+		out.Outcome = "unchanged"
+		return c.say(a, "the tables are in force already, as version %d", accepted.Version)
+	case accepted.Current > accepted.Version:
+		return c.say(a, "the tables were accepted as version %d before, and replaced; version %d is in force", accepted.Version, accepted.Current)
+	case c.Wait <= 0:
+		return c.say(a, "version %d is accepted", accepted.Version)
+	}
+	return c.confirm(ctx, a, svc, out)
+}
+
+func (c *publish) confirm(ctx context.Context, a *App, svc *pubsvc.Service, out *published) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	var err error
+	out.Confirmed, out.Behind, err = svc.Confirm(ctx, out.Version)
+	if err == nil && len(out.Behind) == 0 {
+		return c.say(a, "version %d is in force on all %d instances", out.Version, out.Confirmed)
+	}
+	unconfirmed := &errUnconfirmed{version: out.Version, cause: err}
+	for _, r := range out.Behind {
+		unconfirmed.names = append(unconfirmed.names, fmt.Sprintf("%s (%s)", r.Instance, r.Peer))
+	}
+	return unconfirmed
+}
+
+func (c *publish) say(a *App, format string, args ...any) error {
+	if c.JSON {
+		return nil
+	}
+	_, err := fmt.Fprintf(a.Stdout, format+"\n", args...)
+	return err
+}
+
+// failed records err as the outcome.
+func (p *published) failed(err error) {
+	if err == nil {
+		return
+	}
+	p.Error = err.Error()
+	faults, lost := new(pubsvc.ErrFaults), new(pubsvc.ErrLost)
+	switch {
+	case errors.As(err, &lost):
+		p.Outcome, p.Version, p.Current = "lost", lost.Winner, lost.Winner
+	case errors.As(err, new(*errUnconfirmed)):
+		p.Outcome = "unconfirmed"
+	case errors.As(err, new(*pubsvc.ErrPlatform)):
+		p.Outcome = "unreachable"
+	default:
+		p.Outcome = "faults"
+		if errors.As(err, &faults) {
+			p.Faults = faults.Faults
+		}
+	}
+}
--- a/internal/oper/pubsvc/confirm.go
+++ b/internal/oper/pubsvc/confirm.go
@@ -37,12 +37,12 @@
 	if err != nil {
 		return nil, &ErrPlatform{Cause: err}
 	}
-	return s.ask(ctx, list.Instances), nil
+	return s.Ask(ctx, list.Instances), nil
 }
 
-// ask asks the instances at the same time. The end of ctx does not cut it short, since instances that had no time to
+// Ask asks the instances at the same time. The end of ctx does not cut it short, since instances that had no time to
 // answer would look as if they were behind.
-func (s *Service) ask(ctx context.Context, instances []roster.Instance) []Report {
+func (s *Service) Ask(ctx context.Context, instances []roster.Instance) []Report {
 	ctx = context.WithoutCancel(ctx)
 	mapper := iter.Mapper[roster.Instance, Report]{MaxGoroutines: maxAsked}
 	reports := mapper.Map(instances, func(i *roster.Instance) Report {
@@ -78,7 +78,7 @@
 			err = &ErrPlatform{Cause: failed}
 		} else {
 			err = nil
-			reports := s.ask(ctx, list.Instances)
+			reports := s.Ask(ctx, list.Instances)
 			behind = slices.DeleteFunc(slices.Clone(reports), func(r Report) bool { return !r.Behind(version) })
 			confirmed = len(reports) - len(behind)
 			if len(behind) == 0 {
--- a/internal/oper/pubsvc/pubsvc.go
+++ b/internal/oper/pubsvc/pubsvc.go
@@ -54,13 +54,24 @@
 	}
 }
 
-// ErrFaults means that the tables were not published because they are invalid.
+// ErrFaults means that files are invalid. Nothing was published.
 type ErrFaults struct {
 	Faults []tables.Fault
 }
 
-// Error counts the faults.
-func (e *ErrFaults) Error() string { return fmt.Sprintf("the tables have %d faults", len(e.Faults)) }
+// Error counts the faults, without warnings.
+func (e *ErrFaults) Error() string {
+	n := 0
+	for _, f := range e.Faults {
+		if !f.Warning {
+			n++
+		}
+	}
+	if n == 1 {
+		return "1 fault"
+	}
+	return fmt.Sprintf("%d faults", n)
+}
 
 // ErrLost means that another version was accepted on the same base. The tables are not in force.
 type ErrLost struct {
