Add the routing view, connection pools and the server client

Locate maps a key to slot, owner, token and dispatcher. A connection pool notes whether any byte of a request was written, which decides the verdict of a failed send.

--- /dev/null
+++ b/internal/flow/ranks/ranks.go
@@ -0,0 +1,303 @@
+// Package ranks is the queue in front of the servers of a lane. It is pure: it has no clock and no goroutine, and the
+// stage around it serialises all calls.
+//
+// The most urgent rank goes first. Each rank is guaranteed its share of the service time by a deficit counter; what a
+// rank does not use is lent to the others.
+package ranks
+
+import (
+	"math"
+	"time"
+)
+
+// Rank is one class of work, most urgent first in the list given to New.
+type Rank struct {
+	Share  float64       // guaranteed part of the service time, 0 to 1
+	Target time.Duration // latency within which an answer is useful; 0 means no bound
+}
+
+// Entry is one queued item.
+type Entry[T any] struct {
+	Value    T
+	Deadline time.Time
+	rank     int
+	state    state
+}
+
+type state uint8
+
+const (
+	waiting state = iota
+	cancelled
+	left // popped or dropped
+)
+
+// Rank returns the index of the entry's rank.
+func (e *Entry[T]) Rank() int { return e.rank }
+
+// Queue holds entries of all ranks. It is not safe for concurrent use.
+type Queue[T any] struct {
+	classes  []class[T]
+	capacity int // concurrency slots of all servers that can be used now
+}
+
+// class is the queue of one rank.
+type class[T any] struct {
+	Rank
+	entries []*Entry[T] // from head on; cancelled ones stay until they are reached
+	head    int
+	live    int
+	deficit float64   // service time that the rank is owed, in seconds
+	cost    float64   // mean service time in seconds
+	gap     float64   // mean time between two pops while the rank was waiting, in seconds; 0 if never seen
+	popped  time.Time // last pop, zero unless the rank has been waiting since
+}
+
+const (
+	// initialCost is the assumed service time before the first observation.
+	initialCost = 0.01
+	// weight is the part of a new observation in the means. About 20 observations replace the old value.
+	weight = 0.1
+	// minRetry is the shortest time to retry after that a refusal names.
+	minRetry = 100 * time.Millisecond
+)
+
+// New returns an empty queue. Ranks whose shares add up to more than 1 are scaled down to 1.
+func New[T any](ranks []Rank) *Queue[T] {
+	q := &Queue[T]{classes: make([]class[T], len(ranks)), capacity: 1}
+	sum := 0.0
+	for _, r := range ranks {
+		sum += r.Share
+	}
+	for i, r := range ranks {
+		if sum > 1 {
+			r.Share /= sum
+		}
+		q.classes[i] = class[T]{Rank: r, cost: initialCost}
+	}
+	return q
+}
+
+// SetCapacity sets how many requests the servers can run at the same time.
+func (q *Queue[T]) SetCapacity(n int) { q.capacity = max(1, n) }
+
+// Len returns the number of waiting entries of a rank.
+func (q *Queue[T]) Len(rank int) int { return q.classes[rank].live }
+
+// Total returns the number of waiting entries of all ranks.
+func (q *Queue[T]) Total() int {
+	n := 0
+	for i := range q.classes {
+		n += q.classes[i].live
+	}
+	return n
+}
+
+// Observe records the time that a request of the rank occupied a slot.
+func (q *Queue[T]) Observe(rank int, service time.Duration) {
+	c := &q.classes[rank]
+	c.cost += weight * (max(service.Seconds(), 1e-5) - c.cost)
+}
+
+// Push adds an entry. It refuses, with the time after which to try again, when the entry could not be answered within
+// its rank's target or its deadline, given what waits ahead of it.
+func (q *Queue[T]) Push(now time.Time, rank int, deadline time.Time, v T) (e *Entry[T], after time.Duration, ok bool) {
+	c := &q.classes[rank]
+	limit := deadline.Sub(now)
+	if c.Target > 0 {
+		limit = min(limit, c.Target)
+	}
+	if over := q.estimate(rank) - limit; over > 0 && c.live > 0 || limit <= 0 {
+		return nil, max(over, minRetry), false
+	}
+	if c.live == 0 {
+		c.popped = time.Time{}
+	}
+	e = &Entry[T]{Value: v, Deadline: deadline, rank: rank}
+	c.entries = append(c.entries, e)
+	c.live++
+	return e, 0, true
+}
+
+// estimate returns the expected time until a new entry of the rank is answered.
+func (q *Queue[T]) estimate(rank int) time.Duration {
+	c := &q.classes[rank]
+	gap := c.gap
+	if gap == 0 {
+		gap = c.cost / float64(q.capacity) / q.share(rank)
+	}
+	return time.Duration((float64(c.live)*gap + c.cost) * float64(time.Second))
+}
+
+// share returns the part of the service time that a rank can expect now: its own share, and the shares of ranks that
+// have nothing waiting. What no rank is guaranteed goes to the most urgent.
+func (q *Queue[T]) share(rank int) float64 {
+	rest, s := 1.0, q.classes[rank].Share
+	urgent := true
+	for i := range q.classes {
+		rest -= q.classes[i].Share
+		if i == rank {
+			continue
+		}
+		if q.classes[i].live == 0 {
+			s += q.classes[i].Share
+		} else if i < rank {
+			urgent = false
+		}
+	}
+	if urgent {
+		s += max(0, rest)
+	}
+	return max(s, 0.01)
+}
+
+// Cancel removes a waiting entry. It reports false if the entry has left the queue already.
+func (q *Queue[T]) Cancel(e *Entry[T]) bool {
+	if e.state != waiting {
+		return false
+	}
+	e.state = cancelled
+	q.classes[e.rank].live--
+	return true
+}
+
+// Pop removes the entry that is to be served next, nil if none waits. Entries whose deadline has passed are removed
+// and returned in expired.
+func (q *Queue[T]) Pop(now time.Time) (e *Entry[T], expired []*Entry[T]) {
+	for i := range q.classes {
+		expired = q.classes[i].clean(now, expired)
+	}
+	rank := q.next()
+	if rank < 0 {
+		return nil, expired
+	}
+	c := &q.classes[rank]
+	q.charge(rank)
+	e = c.entries[c.head]
+	e.state = left
+	c.entries[c.head] = nil
+	c.head++
+	c.live--
+	c.pace(now)
+	c.expel(now, &expired)
+	return e, expired
+}
+
+// next returns the most urgent rank with work, unless a less urgent one is owed a whole service.
+func (q *Queue[T]) next() int {
+	first, owed := -1, -1
+	most := 0.0
+	for i := range q.classes {
+		c := &q.classes[i]
+		if c.live == 0 {
+			c.deficit = 0 // what was not used is lent, not saved
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		if over := c.deficit - c.cost; over >= -1e-9 && (owed < 0 || over > most) {
+			owed, most = i, over
+		}
+	}
+	if owed >= 0 {
+		return owed
+	}
+	return first
+}
+
+// charge accounts for a service of the rank: each waiting rank is owed its share of it.
+func (q *Queue[T]) charge(rank int) {
+	cost := q.classes[rank].cost
+	for i := range q.classes {
+		if c := &q.classes[i]; c.live > 0 {
+			c.deficit += c.Share * cost
+		}
+	}
+	c := &q.classes[rank]
+	c.deficit = math.Max(0, c.deficit-cost)
+}
+
+// pace updates the mean time between pops.
+func (c *class[T]) pace(now time.Time) {
+	if !c.popped.IsZero() {
+		gap := now.Sub(c.popped).Seconds()
+		if c.gap == 0 {
+			c.gap = gap
+		}
+		c.gap += weight * (gap - c.gap)
+	}
+	c.popped = now
+	if c.live == 0 {
+		c.popped = time.Time{}
+	}
+}
+
+// clean removes cancelled and expired entries at the head.
+func (c *class[T]) clean(now time.Time, expired []*Entry[T]) []*Entry[T] {
+	for c.head < len(c.entries) {
+		e := c.entries[c.head]
+		if e.state == waiting && now.Before(e.Deadline) {
+			break
+		}
+		if e.state == waiting {
+			e.state = left
+			c.live--
+			expired = append(expired, e)
+		}
+		c.entries[c.head] = nil
+		c.head++
+	}
+	c.compact()
+	return expired
+}
+
+// expel removes expired entries anywhere when at least half of the queue is dead, so that entries with short
+// deadlines behind long ones do not pile up.
+func (c *class[T]) expel(now time.Time, expired *[]*Entry[T]) {
+	if len(c.entries)-c.head <= 2*c.live+16 {
+		return
+	}
+	kept := c.entries[:0]
+	for _, e := range c.entries[c.head:] {
+		switch {
+		case e.state != waiting:
+		case now.Before(e.Deadline):
+			kept = append(kept, e)
+		default:
+			e.state = left
+			c.live--
+			*expired = append(*expired, e)
+		}
+	}
+	clear(c.entries[len(kept):])
+	c.entries, c.head = kept, 0
+}
+
+func (c *class[T]) compact() {
+	if c.head == len(c.entries) {
+		c.entries, c.head = c.entries[:0], 0
+		return
+	}
+	if c.head > 64 && c.head > len(c.entries)/2 {
+		n := copy(c.entries, c.entries[c.head:])
+		clear(c.entries[n:])
+		c.entries, c.head = c.entries[:n], 0
+	}
+}
+
+// Drain removes and returns all waiting entries that match.
+func (q *Queue[T]) Drain(match func(T) bool) []*Entry[T] {
+	var out []*Entry[T]
+	for i := range q.classes {
+		c := &q.classes[i]
+		for _, e := range c.entries[c.head:] {
+			if e.state == waiting && match(e.Value) {
+				e.state = left
+				c.live--
+				out = append(out, e)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/flow/retry/retry.go
@@ -0,0 +1,54 @@
+// Package retry bounds how much work is sent a second time. It is pure; the caller serialises all calls.
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// ratio is how many retries each request earns. A tenth keeps the added load small when everything fails.
+	ratio = 0.1
+	// burst bounds what a quiet time can save up.
+	burst = 10
+)
+
+// Budget is the token bucket of one route. The zero value is empty. It is not safe for concurrent use.
+type Budget struct {
+	tokens float64
+}
+
+// Earn records a first send.
+func (b *Budget) Earn() { b.tokens = min(burst, b.tokens+ratio) }
+
+// Take takes one retry and reports whether there was one.
+func (b *Budget) Take() bool {
+	// The tolerance makes ten tenths a whole.
+	if b.tokens < 1-1e-9 {
+		return false
+	}
+	b.tokens = max(0, b.tokens-1)
+	return true
+}
+
+// Pause is a source of waits before retries. It is not safe for concurrent use.
+type Pause struct {
+	rand *rand.Rand
+}
+
+// NewPause returns a source with a fixed sequence for each seed.
+func NewPause(seed uint64) *Pause {
+	return &Pause{rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+const (
+	basePause = 5 * time.Millisecond
+	maxPause  = 200 * time.Millisecond
+)
+
+// Next returns the wait before retry number attempt, counted from 1: between half and all of a time that doubles with
+// each attempt.
+func (p *Pause) Next(attempt int) time.Duration {
+	d := min(maxPause, basePause<<min(max(attempt-1, 0), 10))
+	return d/2 + time.Duration(p.rand.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/internal/flow/work/work.go
@@ -0,0 +1,143 @@
+// Package work holds the form in which a request and its answer travel through the stages of an instance. Both are
+// plain copies: nothing in them refers to a buffer that a connection reuses.
+package work
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+)
+
+// RequestID is the name of the header that carries the id of a request. Servers echo it.
+const RequestID = "Request-Id"
+
+// Prefix is what the names of all headers start with that only instances may set.
+const Prefix = "Bramleycove-"
+
+// Header is one header field.
+type Header struct {
+	Name, Value string
+}
+
+// Request is one request of a caller with everything that the stages decided about it.
+type Request struct {
+	ID          string
+	Route       string
+	Tenant      string
+	Rank        string
+	Retry       bool // the route permits a second send after a certain not-run verdict
+	Pool        string
+	Key         string // key of a keyed pool
+	Lane        string
+	Slot        uint32
+	Token       uint64
+	Identity    string // hex form of the idempotency key, empty if the route declares none
+	Fingerprint [32]byte
+	Origin      string // data centre where the request entered
+	Hops        int
+	Deadline    time.Time // when the caller stops waiting, on the local monotonic clock
+
+	Method  string
+	URI     string // path and query as received
+	Host    string
+	Headers []Header // without headers that apply to one connection only
+	Body    []byte
+}
+
+// Answer is a whole answer of a server.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// reserved are the headers of the server protocol, which a caller must not be able to set.
+var reserved = map[string]bool{
+	"pool": true, "slot": true, "token": true, "timeout": true, "identity": true, "rank": true, "request-id": true,
+	"verdict": true, "leaving": true,
+}
+
+// connection are the headers that apply to one connection, or that the codec writes by itself.
+var connection = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "transfer-encoding": true, "te": true,
+	"trailer": true, "upgrade": true, "content-length": true, "host": true, "expect": true, "date": true, "server": true,
+}
+
+// Passes reports whether a header of this name is passed on between caller and server.
+func Passes(name string) bool {
+	l := strings.ToLower(name)
+	return !reserved[l] && !connection[l] && !strings.HasPrefix(l, "bramleycove-")
+}
+
+// ReadRequest copies method, target, headers and body of h into r.
+func (r *Request) ReadRequest(h *fasthttp.Request) {
+	r.Method, r.URI, r.Host = string(h.Header.Method()), string(h.Header.RequestURI()), string(h.Header.Host())
+	r.Headers = make([]Header, 0, h.Header.Len())
+	for k, v := range h.Header.All() {
+		if name := string(k); Passes(name) {
+			r.Headers = append(r.Headers, Header{name, string(v)})
+		}
+	}
+	if body := h.Body(); len(body) > 0 {
+		r.Body = append([]byte(nil), body...)
+	}
+}
+
+// WriteRequest sets method, target, headers and body of h. The body is shared with r.
+func (r *Request) WriteRequest(h *fasthttp.Request) {
+	h.Header.SetMethod(r.Method)
+	h.Header.SetRequestURI(r.URI)
+	if r.Host == "" {
+		h.Header.SetHost("bramleycove")
+	} else {
+		h.Header.SetHost(r.Host)
+	}
+	h.Header.SetNoDefaultContentType(true)
+	for _, f := range r.Headers {
+		h.Header.Add(f.Name, f.Value)
+	}
+	h.Header.Set(RequestID, r.ID)
+	h.SetBodyRaw(r.Body)
+}
+
+// ReadResponse copies status, headers and body of h.
+func ReadResponse(h *fasthttp.Response) Answer {
+	a := Answer{Status: h.StatusCode(), Headers: make([]Header, 0, h.Header.Len())}
+	for k, v := range h.Header.All() {
+		if name := string(k); Passes(name) {
+			a.Headers = append(a.Headers, Header{name, string(v)})
+		}
+	}
+	a.Body = append([]byte(nil), h.Body()...)
+	return a
+}
+
+// WriteResponse sets status, headers, body and the verdict Ran of h. The body is shared with a.
+func (a *Answer) WriteResponse(h *fasthttp.Response) {
+	h.SetStatusCode(a.Status)
+	h.Header.SetNoDefaultContentType(true)
+	for _, f := range a.Headers {
+		h.Header.Add(f.Name, f.Value)
+	}
+	h.Header.Set(result.Header, result.Ran.String())
+	h.SetBodyRaw(a.Body)
+}
+
+// Millis returns d in whole milliseconds, at least 1, so that a short rest is never sent as "no limit".
+func Millis(d time.Duration) string {
+	return strconv.FormatInt(max(1, d.Milliseconds()), 10)
+}
+
+// Seconds returns d as a Retry-After value: whole seconds, rounded up, at least 1.
+func Seconds(d time.Duration) string {
+	return strconv.FormatInt(max(1, int64((d+time.Second-1)/time.Second)), 10)
+}
+
+// Refuse returns an error of work that has certainly not run.
+func Refuse(reason string, after time.Duration) *result.Error {
+	return &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
+}
--- /dev/null
+++ b/internal/place/view/spread.go
@@ -0,0 +1,115 @@
+package view
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+// LaneSize is the largest number of servers in a lane of an unkeyed pool.
+const LaneSize = 16
+
+// Chunk is one lane of an unkeyed pool.
+type Chunk struct {
+	Lane    string
+	Servers []tables.Server
+}
+
+// Split returns the lanes of an unkeyed pool in dc: its servers there in the order of their names, LaneSize to a lane.
+// Controller and entry instances use the same rule, so that fallback instances know the servers of a lane.
+func Split(p *tables.Pool, dc string) []Chunk {
+	var servers []tables.Server
+	for _, s := range p.Servers {
+		if s.DC == dc {
+			servers = append(servers, s)
+		}
+	}
+	slices.SortFunc(servers, func(a, b tables.Server) int { return cmp.Compare(a.Name, b.Name) })
+	var out []Chunk
+	for c := range slices.Chunk(servers, LaneSize) {
+		out = append(out, Chunk{Lane: p.Name + "/" + dc + "/" + strconv.Itoa(len(out)), Servers: c})
+	}
+	return out
+}
+
+// serving returns the data centre that serves an unkeyed pool for instances of dc: the own one if it has servers,
+// else, if the pool permits it, one with servers and instances, of the own region if possible.
+func serving(t *tables.Tables, p *tables.Pool, dc string, peers map[string][]netip.AddrPort) string {
+	usable := func(name string) bool {
+		return slices.ContainsFunc(p.Servers, func(s tables.Server) bool { return s.DC == name && !s.Leaving })
+	}
+	if usable(dc) {
+		return dc
+	}
+	if !p.Remote {
+		return ""
+	}
+	var near, far string
+	for _, r := range t.Regions {
+		own := slices.Contains(r.DCs, dc)
+		for _, name := range r.DCs {
+			if !usable(name) || len(peers[name]) == 0 {
+				continue
+			}
+			if own && near == "" {
+				near = name
+			}
+			if far == "" {
+				far = name
+			}
+		}
+	}
+	return cmp.Or(near, far)
+}
+
+// pick chooses a lane for a request id by weighted rendezvous hashing; the weights are the numbers of servers.
+func pick(lanes []Chunk, id string) string {
+	if len(lanes) == 1 {
+		return lanes[0].Lane
+	}
+	best, name := math.Inf(-1), ""
+	for _, c := range lanes {
+		if score := -float64(len(c.Servers)) / math.Log(unit(c.Lane, id)); score > best {
+			best, name = score, c.Lane
+		}
+	}
+	return name
+}
+
+// unit returns a number in the open interval (0, 1).
+func unit(a, b string) float64 {
+	return (float64(hash(a, b)>>11) + 0.5) / (1 << 53)
+}
+
+func hash(a, b string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(a)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(b)
+	return d.Sum64()
+}
+
+// rendezvous returns up to n addresses in the order of their hash with key.
+func rendezvous(addrs []netip.AddrPort, key string, n int) []netip.AddrPort {
+	type scored struct {
+		addr  netip.AddrPort
+		score uint64
+	}
+	all := make([]scored, len(addrs))
+	for i, a := range addrs {
+		all[i] = scored{a, hash(a.String(), key)}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]netip.AddrPort, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.addr)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/place/view/view.go
@@ -0,0 +1,312 @@
+// Package view holds what an instance knows for routing: the tables, the owners of slots and the dispatchers of
+// lanes. Readers never wait: each change replaces an immutable state.
+package view
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// Reasons of refusals by Locate, as they appear in result.Error.
+const (
+	ReasonPool       = "unknown-pool"
+	ReasonOwner      = "no-owner"
+	ReasonDispatcher = "no-dispatcher"
+	ReasonServers    = "no-servers"
+)
+
+// retryAfter is the rest given to callers while an owner or dispatcher is missing; a failover takes up to 5 s.
+const retryAfter = 2 * time.Second
+
+// fallbacks is the number of instances tried after the dispatcher of an unkeyed lane, and after the first
+// instance of another data centre.
+const fallbacks = 2
+
+// Target says where a request goes. Dispatcher is an arbitrary instance of DC when DC is not the own data centre;
+// Lane is empty then, since only instances there know it.
+type Target struct {
+	Pool       string
+	Keyed      bool
+	Slot       uint32
+	DC         string
+	Server     string // owner, keyed pools only
+	Token      uint64
+	Lane       string
+	Dispatcher netip.AddrPort
+	Fallbacks  []netip.AddrPort
+	Local      bool // this instance is the dispatcher
+}
+
+// View is the knowledge of one instance. All methods may be called by many goroutines.
+type View struct {
+	dc   string
+	self netip.AddrPort
+
+	mu    sync.Mutex // serialises changes
+	state atomic.Pointer[state]
+}
+
+type state struct {
+	tables  *tables.Tables
+	pools   map[string]*pool
+	slots   map[string][]fold.Slot
+	owners  []*peerpb.Owner
+	lanes   map[string]netip.AddrPort // dispatcher by lane name
+	members []netip.AddrPort          // peers of the own data centre
+	list    roster.List
+	peers   map[string][]netip.AddrPort // listed instances by data centre, leaving ones only if there is no other
+	changed chan struct{}               // closed when a newer state is in force
+}
+
+// pool is what Locate needs of one pool, computed once for each state.
+type pool struct {
+	*tables.Pool
+	slots []fold.Slot
+	moved map[uint32]fold.Slot // slots moved without the log
+	dc    string               // data centre that serves the unkeyed pool for this instance, empty if none
+	lanes []Chunk              // lanes of an unkeyed pool in dc
+
+	targets map[string]Target // by lane, for the lanes of the own data centre
+}
+
+// New returns an empty view of an instance of dc whose peer listener has the address self.
+func New(dc string, self netip.AddrPort) *View {
+	v := &View{dc: dc, self: self}
+	v.state.Store(&state{changed: make(chan struct{})})
+	return v
+}
+
+// DC returns the data centre of the instance.
+func (v *View) DC() string { return v.dc }
+
+// Self returns the address of the instance's peer listener.
+func (v *View) Self() netip.AddrPort { return v.self }
+
+// Tables returns the tables in force, nil before the first.
+func (v *View) Tables() *tables.Tables { return v.state.Load().tables }
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} { return v.state.Load().changed }
+
+// update replaces the state by a changed copy.
+func (v *View) update(change func(*state)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.state.Load()
+	next := *old
+	next.changed = make(chan struct{})
+	change(&next)
+	v.build(&next)
+	v.state.Store(&next)
+	close(old.changed)
+}
+
+// SetTables sets the tables in force. t must not be changed afterwards.
+func (v *View) SetTables(t *tables.Tables) {
+	v.update(func(s *state) { s.tables = t })
+}
+
+// SetSlots sets the recorded assignment of a pool's slots. slots must not be changed afterwards.
+func (v *View) SetSlots(name string, slots []fold.Slot) {
+	v.update(func(s *state) {
+		next := make(map[string][]fold.Slot, len(s.slots)+1)
+		for k, old := range s.slots {
+			next[k] = old
+		}
+		next[name] = slots
+		s.slots = next
+	})
+}
+
+// SetCell sets the live instances of the own data centre with the lanes that they dispatch, and the slots that were
+// moved without the log. An entry counts when its token is higher than the recorded one.
+func (v *View) SetCell(members []*peerpb.Member, owners []*peerpb.Owner) {
+	lanes := make(map[string]netip.AddrPort)
+	var addrs []netip.AddrPort
+	for _, m := range members {
+		addr, err := netip.ParseAddrPort(m.GetPeer())
+		if err != nil {
+			continue
+		}
+		addrs = append(addrs, addr)
+		for _, name := range m.GetLanes() {
+			lanes[name] = addr
+		}
+	}
+	v.update(func(s *state) { s.members, s.lanes, s.owners = addrs, lanes, owners })
+}
+
+// SetList sets the platform's list of instances and servers.
+func (v *View) SetList(l roster.List) {
+	peers := make(map[string][]netip.AddrPort)
+	leaving := make(map[string][]netip.AddrPort)
+	for _, in := range l.Instances {
+		if in.Leaving {
+			leaving[in.DC] = append(leaving[in.DC], in.Peer)
+			continue
+		}
+		peers[in.DC] = append(peers[in.DC], in.Peer)
+	}
+	for dc, addrs := range leaving {
+		if len(peers[dc]) == 0 {
+			peers[dc] = addrs
+		}
+	}
+	v.update(func(s *state) { s.list, s.peers = l, peers })
+}
+
+func (v *View) build(s *state) {
+	s.pools = make(map[string]*pool)
+	if s.tables == nil {
+		return
+	}
+	for i := range s.tables.Pools {
+		t := &s.tables.Pools[i]
+		p := &pool{Pool: t, slots: s.slots[t.Name]}
+		if t.Keyed {
+			p.moved = moved(t.Name, p.slots, s.owners, v.dc)
+		} else {
+			p.dc = serving(s.tables, t, v.dc, s.peers)
+			p.lanes = Split(t, p.dc)
+			p.targets = make(map[string]Target, len(p.lanes))
+			for _, c := range p.lanes {
+				p.targets[c.Lane] = v.target(s, p, c.Lane)
+			}
+		}
+		s.pools[t.Name] = p
+	}
+}
+
+func moved(name string, slots []fold.Slot, owners []*peerpb.Owner, dc string) map[uint32]fold.Slot {
+	out := make(map[uint32]fold.Slot)
+	for _, o := range owners {
+		if o.GetPool() != name {
+			continue
+		}
+		for i := o.GetFirst(); i <= o.GetLast() && int(i) < len(slots); i++ {
+			if o.GetToken() > slots[i].Token {
+				out[i] = fold.Slot{DC: dc, Owner: o.GetServer(), Token: o.GetToken()}
+			}
+		}
+	}
+	return out
+}
+
+// Locate returns the target of a request. key is the key of a keyed pool, and the request id for an unkeyed one.
+// Errors are *result.Error with the verdict NotRun.
+func (v *View) Locate(name, key string) (Target, error) {
+	s := v.state.Load()
+	p := s.pools[name]
+	if p == nil {
+		return Target{}, &result.Error{Verdict: result.NotRun, Status: 404, Reason: ReasonPool}
+	}
+	if p.Keyed {
+		n := uint64(p.count())
+		if n == 0 {
+			return Target{}, work.Refuse(ReasonOwner, retryAfter)
+		}
+		return v.keyed(s, p, uint32(xxhash.Sum64String(key)%n), key)
+	}
+	return v.unkeyed(s, p, key)
+}
+
+// count returns the number of slots: the recorded one, since the tables cannot change it afterwards.
+func (p *pool) count() int {
+	if len(p.slots) > 0 {
+		return len(p.slots)
+	}
+	return int(p.Slots)
+}
+
+func (v *View) keyed(s *state, p *pool, slot uint32, key string) (Target, error) {
+	t := Target{Pool: p.Name, Keyed: true, Slot: slot}
+	a, ok := p.moved[slot]
+	if !ok && int(slot) < len(p.slots) {
+		a = p.slots[slot]
+	}
+	if a.DC == "" || (a.Owner == "" && a.DC == v.dc) {
+		return t, work.Refuse(ReasonOwner, retryAfter)
+	}
+	t.DC, t.Server, t.Token = a.DC, a.Owner, a.Token
+	if t.DC != v.dc {
+		return v.away(s, t, key)
+	}
+	t.Lane = p.Name + "/" + a.Owner
+	if t.Dispatcher, ok = s.lanes[t.Lane]; !ok {
+		return t, work.Refuse(ReasonDispatcher, retryAfter)
+	}
+	t.Local = t.Dispatcher == v.self
+	return t, nil
+}
+
+// away picks instances of another data centre: any will do, and the key spreads the load.
+func (v *View) away(s *state, t Target, key string) (Target, error) {
+	peers := s.peers[t.DC]
+	n := min(len(peers), fallbacks+1)
+	if n == 0 {
+		return t, work.Refuse(ReasonDispatcher, retryAfter)
+	}
+	first := int(xxhash.Sum64String(key) >> 32 % uint64(len(peers)))
+	order := make([]netip.AddrPort, n)
+	for i := range order {
+		order[i] = peers[(first+i)%len(peers)]
+	}
+	t.Dispatcher, t.Fallbacks = order[0], order[1:]
+	return t, nil
+}
+
+func (v *View) unkeyed(s *state, p *pool, id string) (Target, error) {
+	if p.dc == "" {
+		return Target{Pool: p.Name}, work.Refuse(ReasonServers, retryAfter)
+	}
+	if p.dc != v.dc {
+		return v.away(s, Target{Pool: p.Name, DC: p.dc}, id)
+	}
+	return p.targets[pick(p.lanes, id)], nil
+}
+
+// target returns the target of a lane of an unkeyed pool in the own data centre.
+func (v *View) target(s *state, p *pool, lane string) Target {
+	order := rendezvous(s.members, lane, fallbacks+1)
+	holder, ok := s.lanes[lane]
+	if !ok {
+		if len(order) == 0 {
+			order = []netip.AddrPort{v.self}
+		}
+		holder = order[0]
+	}
+	order = slices.DeleteFunc(order, func(a netip.AddrPort) bool { return a == holder })
+	return Target{
+		Pool: p.Name, DC: p.dc, Lane: lane, Dispatcher: holder, Fallbacks: order[:min(len(order), fallbacks)],
+		Local: holder == v.self,
+	}
+}
+
+// Servers returns the servers of a lane of an unkeyed pool in the own data centre by the tables in force, nil if
+// there is no such lane. Fallback instances, which no controller told of the lane, serve it by this.
+func (v *View) Servers(lane string) []tables.Server {
+	name, _, _ := strings.Cut(lane, "/")
+	p := v.state.Load().pools[name]
+	if p == nil || p.dc != v.dc {
+		return nil
+	}
+	for _, c := range p.lanes {
+		if c.Lane == lane {
+			return c.Servers
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plat/conns/conns.go
@@ -0,0 +1,274 @@
+// Package conns exchanges HTTP messages with one address over a bounded set of connections. A connection carries one
+// request at a time and is reused only after a whole answer. For each failure it says whether any byte of the request
+// may have left this process, which decides the verdict.
+package conns
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+)
+
+var (
+	// ErrLimit means that all permitted connections are in use.
+	ErrLimit = errors.New("connection limit reached")
+	// ErrLength means that an answer declares no length, so that a cut answer would look whole.
+	ErrLength = errors.New("answer without declared length")
+	// ErrLate means that the permission to send ended before the request was written.
+	ErrLate = errors.New("permission to send has ended")
+	// ErrCut means that an answer began and did not come whole.
+	ErrCut = errors.New("answer cut short")
+	// ErrMismatch means that an answer does not echo the id of the request.
+	ErrMismatch = errors.New("answer of another request")
+	// ErrClosed means that the pool was closed.
+	ErrClosed = errors.New("connection pool closed")
+)
+
+const (
+	// connectTimeout bounds a connection attempt; servers are at most 20 ms away.
+	connectTimeout = 500 * time.Millisecond
+	// idleTimeout is shorter than the keep-alive time of common servers (5 s and more), since a server that closes
+	// a connection while a request is being written leaves the outcome of the request unknown.
+	idleTimeout = 4 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// Pool is a set of connections to one address. It may be used by many goroutines.
+type Pool struct {
+	addr  string
+	limit int
+
+	mu     sync.Mutex
+	idle   []*conn // most recently used last
+	open   int
+	closed bool
+}
+
+// New returns a pool of at most limit connections to addr; limit 0 means no limit.
+func New(addr netip.AddrPort, limit int) *Pool {
+	return &Pool{addr: addr.String(), limit: limit}
+}
+
+// conn notes whether any byte was handed to the operating system since the last request began.
+type conn struct {
+	net.Conn
+	sent  bool
+	until time.Time // no first byte is written later; zero means no limit
+	since time.Time // start of idleness
+	br    *bufio.Reader
+	bw    *bufio.Writer
+}
+
+// Write passes p on and notes a first byte that was accepted. Only the first write is bound by until: the permission
+// to send concerns the start of a request, and a long body may take longer than the rest of a lease.
+func (c *conn) Write(p []byte) (int, error) {
+	first := !c.sent && !c.until.IsZero()
+	if first {
+		if err := c.SetWriteDeadline(c.until); err != nil {
+			return 0, err
+		}
+		if !time.Now().Before(c.until) {
+			return 0, ErrLate
+		}
+	}
+	n, err := c.Conn.Write(p)
+	c.sent = c.sent || n > 0
+	if first && err == nil {
+		err = c.SetWriteDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// Do sends req and reads the answer into resp. sent reports whether any byte of the request was written. until, if
+// not zero, is when the permission to send ends: no byte is written later. When ctx ends the connection is closed, so
+// that a late answer cannot reach another request.
+func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, until time.Time) (sent bool, err error) {
+	for {
+		c, fresh, err := p.take(ctx)
+		if err != nil {
+			return false, err
+		}
+		err = c.exchange(ctx, req, resp, until)
+		p.put(c, err == nil && !resp.ConnectionClose() && !req.ConnectionClose())
+		// An idle connection may have been closed by the server between the check and the write. As no byte was
+		// accepted, the request certainly did not run and goes out on another connection.
+		if err == nil || c.sent || fresh || ctx.Err() != nil || errors.Is(err, ErrLate) {
+			return c.sent, err
+		}
+	}
+}
+
+func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, until time.Time) error {
+	c.sent, c.until = false, until
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Unix(1, 0))
+	})
+	err := c.talk(ctx, req, resp)
+	if !stop() {
+		// The deadline set by the function above would hit the next request on this connection.
+		return errors.CombineErrors(err, ctx.Err())
+	}
+	return err
+}
+
+func (c *conn) talk(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := c.send(ctx, req); err != nil {
+		return err
+	}
+	resp.Reset()
+	if err := readHeader(resp, c.br); err != nil {
+		return err
+	}
+	if id := req.Header.Peek(work.RequestID); len(id) > 0 && !bytes.Equal(id, resp.Header.Peek(work.RequestID)) {
+		return ErrMismatch
+	}
+	if bodyless(req, resp) {
+		return nil
+	}
+	return readBody(resp, c.br)
+}
+
+func bodyless(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// readBody reads a body whose end the header or the chunks show.
+func readBody(resp *fasthttp.Response, br *bufio.Reader) error {
+	length := resp.Header.ContentLength()
+	if length < -1 {
+		return ErrLength
+	}
+	err := resp.ReadBody(br, maxAnswer)
+	if err == nil && length == -1 {
+		err = resp.Header.ReadTrailer(br)
+	}
+	if err != nil {
+		return errors.Mark(err, ErrCut)
+	}
+	return nil
+}
+
+func (c *conn) send(ctx context.Context, req *fasthttp.Request) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	c.bw.Reset(c)
+	err := req.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
+	}
+	if !c.sent && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrLate
+	}
+	return err
+}
+
+// readHeader skips interim answers.
+func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
+	for {
+		if err := resp.Header.Read(br); err != nil {
+			return err
+		}
+		if s := resp.StatusCode(); s >= 200 || s == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+}
+
+// take returns an idle connection that is still quiet, or a new one.
+func (p *Pool) take(ctx context.Context) (c *conn, fresh bool, err error) {
+	c, err = p.reserve(time.Now())
+	if c != nil || err != nil {
+		return c, false, err
+	}
+	d := net.Dialer{Timeout: connectTimeout}
+	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		p.drop(nil)
+		return nil, false, err
+	}
+	return &conn{Conn: nc, br: bufio.NewReader(nc), bw: bufio.NewWriter(nil)}, true, nil
+}
+
+func (p *Pool) reserve(now time.Time) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Sub(c.since) < idleTimeout && c.br.Buffered() == 0 && work.Quiet(c.Conn) {
+			return c, nil
+		}
+		p.open--
+		_ = c.Close()
+	}
+	if p.limit > 0 && p.open >= p.limit {
+		return nil, ErrLimit
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *Pool) put(c *conn, reuse bool) {
+	if !reuse {
+		p.drop(c)
+		return
+	}
+	c.since = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.open--
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	// The oldest idle connection is closed when it has not been needed for a while.
+	if old := p.idle[0]; c.since.Sub(old.since) >= idleTimeout {
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+		_ = old.Close()
+	}
+}
+
+func (p *Pool) drop(c *conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Open returns the number of connections that are open or being opened.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Close closes idle connections now and the others after their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.open -= len(p.idle)
+	p.idle = nil
+}
--- /dev/null
+++ b/internal/plat/server/send.go
@@ -0,0 +1,152 @@
+// Package server is the client of backend servers.
+package server
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/conns"
+)
+
+// Reasons of failed sends, as they appear in result.Error.
+const (
+	ReasonRefused   = "server-refused"   // the server answered that it did not run the request
+	ReasonConnect   = "server-connect"   // no connection, or it failed before the first byte was written
+	ReasonLost      = "server-lost"      // the connection broke after the first byte was written
+	ReasonTimeout   = "server-timeout"   // no whole answer within the deadline
+	ReasonCancelled = "cancelled"        // the caller gave up
+	ReasonMismatch  = "answer-mismatch"  // the answer belongs to another request
+	ReasonLength    = "answer-length"    // the answer's length cannot be checked, or it was cut short
+	ReasonLapsed    = "lease-lapsed"     // permission to send ended before the first byte was written
+	ReasonLimit     = "connection-limit" // all permitted connections are in use
+)
+
+// Client sends requests to one backend server. It may be used by many goroutines.
+type Client struct {
+	pool    *conns.Pool
+	cancels conc.WaitGroup
+}
+
+// Reply is what a server answered. Leaving is set when the server says that it is draining.
+type Reply struct {
+	work.Answer
+	Leaving bool
+}
+
+// New returns a client of the server at addr that opens at most limit connections.
+func New(addr netip.AddrPort, limit int) *Client {
+	return &Client{pool: conns.New(addr, limit)}
+}
+
+// Send sends req once and returns the whole answer. Errors are *result.Error and say whether the request may have
+// run. until, if not zero, is when the permission to send ends. The reply is set for refusals as well.
+func (c *Client) Send(ctx context.Context, req *work.Request, until time.Time) (Reply, error) {
+	h, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(h)
+	defer fasthttp.ReleaseResponse(resp)
+	req.WriteRequest(h)
+	setHeaders(h, req)
+	sent, err := c.pool.Do(ctx, h, resp, until)
+	if err != nil {
+		if sent && ctx.Err() != nil {
+			c.cancel(req.ID)
+		}
+		return Reply{}, failure(ctx, sent, err)
+	}
+	return judge(resp)
+}
+
+func setHeaders(h *fasthttp.Request, req *work.Request) {
+	h.Header.Set("Pool", req.Pool)
+	h.Header.Set("Slot", strconv.FormatUint(uint64(req.Slot), 10))
+	h.Header.Set("Token", strconv.FormatUint(req.Token, 10))
+	h.Header.Set("Timeout", work.Millis(time.Until(req.Deadline)))
+	h.Header.Set("Rank", req.Rank)
+	if req.Identity != "" {
+		h.Header.Set("Identity", req.Identity)
+	}
+}
+
+// failure maps an error of the exchange to a verdict.
+func failure(ctx context.Context, sent bool, err error) *result.Error {
+	e := &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusServiceUnavailable, Reason: ReasonConnect, Cause: err}
+	if sent {
+		e.Verdict, e.Status, e.Reason = result.MayHaveRun, fasthttp.StatusGatewayTimeout, ReasonLost
+	}
+	switch {
+	case errors.Is(err, conns.ErrLimit):
+		e.Reason = ReasonLimit
+	case !sent && errors.Is(err, conns.ErrLate):
+		e.Reason = ReasonLapsed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Reason = ReasonTimeout
+	case ctx.Err() != nil:
+		e.Reason = ReasonCancelled
+	case errors.Is(err, conns.ErrMismatch):
+		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMismatch
+	case sent && cut(err):
+		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonLength
+	}
+	return e
+}
+
+// cut reports whether an answer began and did not come whole.
+func cut(err error) bool {
+	return errors.Is(err, conns.ErrCut) || errors.Is(err, conns.ErrLength)
+}
+
+// judge tells a refusal from an answer. The exchange has checked that the answer is whole and echoes the request.
+func judge(resp *fasthttp.Response) (Reply, error) {
+	r := Reply{Leaving: strings.EqualFold(string(resp.Header.Peek("Leaving")), "true")}
+	if string(resp.Header.Peek("Verdict")) == result.NotRun.String() {
+		e := work.Refuse(ReasonRefused, seconds(resp.Header.Peek("Retry-After")))
+		e.Cause = errors.Newf("server answered %d", resp.StatusCode())
+		return r, e
+	}
+	r.Answer = work.ReadResponse(resp)
+	return r, nil
+}
+
+func seconds(b []byte) time.Duration {
+	n, err := strconv.ParseUint(string(b), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+// cancelTimeout bounds the cancellation of a request, which is a best effort.
+const cancelTimeout = 200 * time.Millisecond
+
+// cancel asks the server to drop a request whose answer nobody waits for any more. It does not wait.
+func (c *Client) cancel(id string) {
+	c.cancels.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+		defer stop()
+		h, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(h)
+		defer fasthttp.ReleaseResponse(resp)
+		h.Header.SetMethod(fasthttp.MethodDelete)
+		h.Header.SetRequestURI("/requests/" + id)
+		h.Header.SetHost("bramleycove")
+		_, _ = c.pool.Do(ctx, h, resp, time.Time{})
+	})
+}
+
+// Close closes idle connections now and the others after their request. It waits for cancellations on their way.
+func (c *Client) Close() {
+	c.cancels.Wait()
+	c.pool.Close()
+}
+
+// Connections returns the number of open connections.
+func (c *Client) Connections() int { return c.pool.Open() }
