Add dispatcher stage, hop between instances, routes and caller listener

The hop is tested over none, one and two instances, with a stale target, a lost dispatcher and a hop that breaks after sending.

--- /dev/null
+++ b/internal/edge/front/front.go
@@ -0,0 +1,200 @@
+// Package front is the listener for callers. It passes each request through filters in order (route, quarantine,
+// ledger, send) and writes the whole answer, or an error that says whether the work may have run.
+package front
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/edge/route"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+// Reasons of refusals, as they appear in result.Error.
+const (
+	ReasonTables     = "no-tables"
+	ReasonQuarantine = "quarantine"
+	ReasonLedger     = "no-ledger"
+	ReasonPanic      = "internal"
+	ReasonRequest    = "bad-request"
+)
+
+// Config holds limits and seams of a Front. Tables and Send are required.
+type Config struct {
+	DC       string
+	Instance string // part of each request id; must differ between processes, restarted ones included
+
+	// Tables returns the tables in force, nil before the first.
+	Tables func() *tables.Tables
+	// Send runs a request. Its errors are *result.Error.
+	Send func(ctx context.Context, req *work.Request) (work.Answer, error)
+	// Check reports whether work with this fingerprint is quarantined. nil means that nothing is.
+	Check func(now time.Time, fingerprint [32]byte) bool
+	// Begin claims work that must not repeat. If finish is not nil, the claim was won: the work must be run once and
+	// finish called with its result. Otherwise answer is that of the first run, or err says why there is none.
+	// nil means that such work is refused.
+	Begin func(ctx context.Context, identity [32]byte, window time.Duration) (finish func(work.Answer, error), answer work.Answer, err error)
+	// Observe is called after each request. It may be nil.
+	Observe func(Outcome)
+
+	MaxBody   int           // bytes; 0 means 4 MiB
+	MaxHeader int           // bytes; 0 means 16 KiB
+	MaxConns  int           // open connections; 0 means 8192
+	ReadTime  time.Duration // for a whole request from its first byte; 0 means 10 s
+	IdleTime  time.Duration // between requests; 0 means 75 s
+}
+
+// Outcome describes one finished request for metrics and logs. Err is nil for a whole answer.
+type Outcome struct {
+	Request *work.Request // nil if no route matched
+	Status  int
+	Err     *result.Error
+	Took    time.Duration
+}
+
+// Front serves callers. All methods may be called by many goroutines.
+type Front struct {
+	cfg      Config
+	app      *fiber.App
+	filters  []filter
+	stopping atomic.Bool
+	ids      atomic.Uint64
+}
+
+func (cfg *Config) defaults() {
+	set(&cfg.MaxBody, 4<<20)
+	set(&cfg.MaxHeader, 16<<10)
+	set(&cfg.MaxConns, 8192)
+	set(&cfg.ReadTime, 10*time.Second)
+	set(&cfg.IdleTime, 75*time.Second)
+}
+
+func set[T comparable](p *T, def T) {
+	var zero T
+	if *p == zero {
+		*p = def
+	}
+}
+
+// New returns a Front that does not listen yet.
+func New(cfg Config) *Front {
+	cfg.defaults()
+	f := &Front{cfg: cfg}
+	f.filters = []filter{f.match, f.quarantine, f.ledger}
+	f.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, DisableDefaultContentType: true, ErrorHandler: f.malformed,
+		BodyLimit: cfg.MaxBody, ReadBufferSize: cfg.MaxHeader, Concurrency: 2 * cfg.MaxConns,
+		ReadTimeout: cfg.ReadTime, IdleTimeout: cfg.IdleTime, WriteTimeout: cfg.ReadTime,
+		DisablePreParseMultipartForm: true,
+	})
+	f.app.Use(f.handle)
+	srv := f.app.Server()
+	srv.CloseOnShutdown = true
+	inner := srv.Handler
+	srv.Handler = func(c *fasthttp.RequestCtx) {
+		inner(c)
+		// What the framework refuses by itself never reached a server.
+		if len(c.Response.Header.Peek(result.Header)) == 0 {
+			c.Response.Header.Set(result.Header, result.NotRun.String())
+		}
+	}
+	return f
+}
+
+// Serve accepts callers from ln until Stop. It returns nil after Stop.
+func (f *Front) Serve(ln net.Listener) error {
+	return f.app.Listener(&bounded{Listener: ln, limit: int64(f.cfg.MaxConns)})
+}
+
+// Stop ends gracefully: for linger it goes on accepting, while the load balancer still sends, and answers with
+// "Connection: close". Then it closes the listener and returns when all requests are finished or ctx ends.
+func (f *Front) Stop(ctx context.Context, linger time.Duration) error {
+	f.stopping.Store(true)
+	t := time.NewTimer(linger)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return f.app.ShutdownWithContext(ctx)
+}
+
+func (f *Front) handle(c *fiber.Ctx) error {
+	x := &call{http: c.Context(), start: time.Now(), id: f.newID()}
+	var a work.Answer
+	err := f.guard(func() (err error) {
+		a, err = f.run(x, 0)
+		return err
+	})
+	f.write(x, a, err)
+	return nil
+}
+
+// guard turns a panic into an error: one damaged request must not end the process and with it all others.
+func (f *Front) guard(run func() error) (err error) {
+	if p := panics.Try(func() { err = run() }); p != nil {
+		return &result.Error{Verdict: result.MayHaveRun, Status: 500, Reason: ReasonPanic, Cause: p.AsError()}
+	}
+	return err
+}
+
+func (f *Front) write(x *call, a work.Answer, err error) {
+	h := &x.http.Response
+	out := Outcome{Request: x.Request, Status: a.Status, Took: time.Since(x.start)}
+	if err != nil {
+		out.Err = result.From(err)
+		out.Status = out.Err.Status
+		writeError(h, x.id, out.Err)
+	} else {
+		a.WriteResponse(h)
+	}
+	h.Header.Set(work.RequestID, x.id)
+	if f.stopping.Load() {
+		h.SetConnectionClose()
+	}
+	if f.cfg.Observe != nil {
+		f.cfg.Observe(out)
+	}
+}
+
+// problem is the body of an error.
+type problem struct {
+	Error   string `json:"error"`
+	Verdict string `json:"verdict"`
+	Request string `json:"request,omitempty"`
+}
+
+func writeError(h *fasthttp.Response, id string, e *result.Error) {
+	h.SetStatusCode(e.Status)
+	h.Header.Set(result.Header, e.Verdict.String())
+	h.Header.SetContentType("application/json")
+	if e.Verdict == result.NotRun && e.Status == fasthttp.StatusServiceUnavailable {
+		h.Header.Set("Retry-After", work.Seconds(e.RetryAfter))
+	}
+	body, _ := json.Marshal(problem{Error: e.Reason, Verdict: e.Verdict.String(), Request: id})
+	h.SetBodyRaw(body)
+}
+
+// malformed answers requests that the HTTP server could not read.
+func (f *Front) malformed(c *fiber.Ctx, err error) error {
+	e := &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusBadRequest, Reason: ReasonRequest, Cause: err}
+	if fe, ok := err.(*fiber.Error); ok {
+		e.Status = fe.Code
+	}
+	writeError(c.Response(), "", e)
+	return nil
+}
+
+// caller returns the device's address.
+func caller(c *fasthttp.RequestCtx) string {
+	return route.Caller(&c.Request, c.RemoteIP().String())
+}
--- /dev/null
+++ b/internal/edge/route/route.go
@@ -0,0 +1,173 @@
+// Package route matches a caller's request to a route and extracts what the route declares: key, rank, tenant, timeout
+// and identity. It is pure.
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+// Reasons of refusals, as they appear in result.Error.
+const (
+	ReasonRoute    = "no-route"
+	ReasonKey      = "no-key"
+	ReasonIdentity = "no-identity"
+)
+
+// defaultTimeout applies to routes that declare none.
+const defaultTimeout = 10 * time.Second
+
+// Match is a request with its route. Identity is meaningful only if the route has Once.
+type Match struct {
+	*tables.Route
+	Request  *work.Request
+	Identity [32]byte
+}
+
+// Extract matches h to the first route that fits and builds the request. caller is the caller's address without port.
+// Errors are *result.Error with the verdict NotRun.
+func Extract(t *tables.Tables, h *fasthttp.Request, caller string, now time.Time) (Match, error) {
+	path := string(h.URI().Path())
+	r := Find(t, string(h.Header.Method()), path)
+	if r == nil {
+		return Match{}, &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusNotFound, Reason: ReasonRoute}
+	}
+	m := Match{Route: r, Request: &work.Request{
+		Route: r.Name, Tenant: r.Tenant, Rank: r.Rank, Retry: r.Retry, Pool: r.Pool, Deadline: now.Add(timeout(r)),
+	}}
+	var ok bool
+	if m.Request.Key, ok = key(r.Key, h, path); !ok {
+		return m, malformed(ReasonKey)
+	}
+	m.Request.ReadRequest(h)
+	m.Request.Fingerprint = digest([]byte(m.Request.Method), []byte(path), m.Request.Body)
+	if r.Once != nil {
+		if m.Identity, ok = identity(r, h, path, caller); !ok {
+			return m, malformed(ReasonIdentity)
+		}
+		m.Request.Identity = hex.EncodeToString(m.Identity[:])
+	}
+	return m, nil
+}
+
+func malformed(reason string) *result.Error {
+	return &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusBadRequest, Reason: reason}
+}
+
+func timeout(r *tables.Route) time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return defaultTimeout
+}
+
+// Find returns the first route that fits method and path, nil if none does.
+func Find(t *tables.Tables, method, path string) *tables.Route {
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if fits(r.Path, path) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) {
+			return r
+		}
+	}
+	return nil
+}
+
+func fits(pattern, path string) bool {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
+
+// key extracts the key; it reports false when the declared source is absent or empty.
+func key(src tables.Source, h *fasthttp.Request, path string) (string, bool) {
+	var k string
+	switch {
+	case src.Header != "":
+		k = string(h.Header.Peek(src.Header))
+	case src.Query != "":
+		k = string(h.URI().QueryArgs().Peek(src.Query))
+	case src.Segment > 0:
+		parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+		if src.Segment <= len(parts) {
+			k = parts[src.Segment-1]
+		}
+	default:
+		return "", true
+	}
+	return k, k != ""
+}
+
+// identity hashes what identifies a request of a route whose work must not repeat. The route is part of it: the same
+// header value on two routes means two different works.
+func identity(r *tables.Route, h *fasthttp.Request, path, caller string) ([32]byte, bool) {
+	if r.Once.Header != "" {
+		v := h.Header.Peek(r.Once.Header)
+		return digest([]byte(r.Name), v), len(v) > 0
+	}
+	parts := [][]byte{[]byte(r.Name)}
+	for _, f := range r.Once.Fields {
+		v, ok := field(f, h, path, caller)
+		if !ok {
+			return [32]byte{}, false
+		}
+		parts = append(parts, v)
+	}
+	return digest(parts...), len(parts) > 1
+}
+
+func field(name string, h *fasthttp.Request, path, caller string) ([]byte, bool) {
+	switch name {
+	case "caller":
+		return []byte(caller), caller != ""
+	case "method":
+		return h.Header.Method(), true
+	case "path":
+		return []byte(path), true
+	case "query":
+		return h.URI().QueryString(), true
+	case "body":
+		return h.Body(), true
+	}
+	if head, ok := strings.CutPrefix(name, "header:"); ok {
+		v := h.Header.Peek(head)
+		return v, len(v) > 0
+	}
+	return nil, false
+}
+
+// digest hashes parts with their lengths, so that no two different lists of parts are hashed alike.
+func digest(parts ...[]byte) [32]byte {
+	d := sha256.New()
+	for _, p := range parts {
+		length(d, len(p))
+		_, _ = d.Write(p)
+	}
+	return [32]byte(d.Sum(nil))
+}
+
+func length(d hash.Hash, n int) {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(n))
+	_, _ = d.Write(b[:])
+}
+
+// Caller returns the address of the device: the last entry of X-Forwarded-For, which the platform's load balancer
+// adds, or else the remote address of the connection.
+func Caller(h *fasthttp.Request, remote string) string {
+	if v := string(h.Header.Peek("X-Forwarded-For")); v != "" {
+		return strings.TrimSpace(v[strings.LastIndexByte(v, ',')+1:])
+	}
+	return remote
+}
--- /dev/null
+++ b/internal/flow/lanes/job.go
@@ -0,0 +1,96 @@
+package lanes
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/flow/limit"
+	"github.com/bramleycove/bramleycove/internal/flow/ranks"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/server"
+)
+
+// job is one request in a lane.
+type job struct {
+	req   *work.Request
+	ctx   context.Context //nolint:containedctx // lives as long as the call
+	ready chan outcome    // capacity 1; receives exactly once unless the job is withdrawn
+	entry *ranks.Entry[*job]
+	rank  int
+	alone bool // a server was lost while it ran this request
+
+	server  *backend // set while it runs
+	until   time.Time
+	started time.Time
+}
+
+// outcome is what became of a waiting job: a server, or an error, or moved when it has to be queued anew.
+type outcome struct {
+	server *backend
+	err    error
+	moved  bool
+}
+
+// await returns the fate of a pushed job. When the context ends first, the job is withdrawn.
+func (ln *lane) await(j *job) outcome {
+	select {
+	case out := <-j.ready:
+		return out
+	case <-j.ctx.Done():
+	}
+	if !ln.withdraw(j) {
+		return <-j.ready
+	}
+	reason := ReasonCanceled
+	if j.ctx.Err() == context.DeadlineExceeded {
+		reason = ReasonDeadline
+	}
+	return outcome{err: work.Refuse(reason, time.Second)}
+}
+
+// send runs a job on the server it was given.
+func (ln *lane) send(j *job, b *backend) (work.Answer, error) {
+	reply, err := b.client.Send(j.ctx, j.req, j.until)
+	now := ln.stage.cfg.Now()
+	out, hold := limit.Done, time.Duration(0)
+	if err != nil {
+		e := result.From(err)
+		out, hold = classify(e), e.RetryAfter
+		if out == limit.Broken && e.Verdict == result.MayHaveRun {
+			ln.stage.cfg.Strike(now, j.req.Fingerprint, b.name)
+		}
+	}
+	ln.finish(now, j, b, out, hold, reply.Leaving)
+	return reply.Answer, err
+}
+
+// classify says what a failed send shows about the server.
+func classify(e *result.Error) limit.Outcome {
+	switch e.Reason {
+	case server.ReasonRefused:
+		return limit.Shed
+	case server.ReasonTimeout:
+		if e.Verdict == result.MayHaveRun {
+			return limit.Timeout
+		}
+		return limit.Neutral
+	case server.ReasonConnect, server.ReasonLost, server.ReasonLength:
+		return limit.Broken
+	default:
+		return limit.Neutral
+	}
+}
+
+// retryable reports whether another try can help after a send that certainly did not run the request.
+func retryable(err error) bool {
+	e := result.From(err)
+	if e.Verdict != result.NotRun {
+		return false
+	}
+	switch e.Reason {
+	case server.ReasonRefused, server.ReasonConnect, server.ReasonLimit:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/flow/lanes/lane.go
@@ -0,0 +1,342 @@
+package lanes
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/flow/limit"
+	"github.com/bramleycove/bramleycove/internal/flow/ranks"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// lane is the queue and the servers of one lane.
+type lane struct {
+	stage *Stage
+	name  string
+	keyed bool
+
+	mu       sync.Mutex
+	def      *peerpb.Lane
+	until    time.Time // end of the lease, keyed lanes only
+	removed  time.Time // zero while this instance dispatches the lane
+	fallback bool      // served without being told by a controller
+	used     time.Time // last request
+	servers  []*backend
+	names    []string // rank names of the queue
+	queue    *ranks.Queue[*job]
+	alone    []*job // requests that lost a server before, in order of arrival
+	running  map[*job]struct{}
+	timer    *time.Timer // runs pump when a server that was held back can be used
+	rates    map[uint32]int
+	reported time.Time
+	changed  time.Time // last change of the load
+}
+
+func newLane(s *Stage, name string) *lane {
+	ln := &lane{stage: s, name: name, keyed: keyedName(name), running: make(map[*job]struct{}), rates: make(map[uint32]int)}
+	ln.reported = s.cfg.Now()
+	ln.changed = ln.reported
+	return ln
+}
+
+// apply puts a definition and a lease into force.
+func (ln *lane) apply(now time.Time, def *peerpb.Lane, until time.Time) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.until, ln.removed = until, time.Time{}
+	if ln.def != def {
+		ln.fallback = ln.fallback && until.IsZero()
+		ln.def = def
+		ln.setServers(def.GetServers())
+	}
+	ln.setRanks(ln.stage.cfg.Ranks())
+	ln.refuse(now)
+	ln.pump(now)
+}
+
+// setServers keeps the state of servers that are still the same process.
+func (ln *lane) setServers(defs []*peerpb.Server) {
+	var next []*backend
+	for _, d := range defs {
+		addr, err := netip.ParseAddrPort(d.GetAddress())
+		if err != nil {
+			continue
+		}
+		i := slices.IndexFunc(ln.servers, func(b *backend) bool { return b.same(d, addr) })
+		if i < 0 {
+			next = append(next, newBackend(d, addr))
+			continue
+		}
+		b := ln.servers[i]
+		b.leaving = d.GetLeaving()
+		next = append(next, b)
+		ln.servers = slices.Delete(ln.servers, i, i+1)
+	}
+	ln.retire()
+	ln.servers = next
+}
+
+// setRanks puts changed ranks into force. When their names change, waiting jobs are queued anew.
+func (ln *lane) setRanks(in []tables.Rank) {
+	cfg := make([]ranks.Rank, len(in))
+	names := make([]string, len(in))
+	for i, r := range in {
+		cfg[i], names[i] = ranks.Rank{Share: r.Share, Target: r.Target}, r.Name
+	}
+	if ln.queue != nil && slices.Equal(names, ln.names) {
+		ln.queue.SetRanks(cfg)
+		return
+	}
+	old := ln.queue
+	ln.names, ln.queue = names, ranks.New[*job](cfg)
+	if old != nil {
+		for _, e := range old.Drain(func(*job) bool { return true }) {
+			e.Value.ready <- outcome{moved: true}
+		}
+	}
+}
+
+// remove ends the dispatching of the lane.
+func (ln *lane) remove(now time.Time) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.removed = now
+	ln.refuse(now)
+}
+
+// keepFallback reports whether an unkeyed lane that no controller gave to this instance is still in use.
+func (ln *lane) keepFallback(now time.Time) bool {
+	const unused = 10 * time.Second
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.fallback && (len(ln.running) > 0 || now.Sub(ln.used) < unused)
+}
+
+// forget reports whether a removed lane has no requests left and its release was repeated long enough.
+func (ln *lane) forget(now time.Time) bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return len(ln.running) == 0 && now.Sub(ln.removed) >= goneFor
+}
+
+func (ln *lane) close() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.timer != nil {
+		ln.timer.Stop()
+	}
+	ln.retire()
+}
+
+// retire closes the connections of all servers, those in use after their request.
+func (ln *lane) retire() {
+	for _, b := range ln.servers {
+		ln.stage.tasks.Go(b.client.Close)
+	}
+	ln.servers = nil
+}
+
+// permit checks that the lane may send the request now.
+func (ln *lane) permit(now time.Time, req *work.Request) error {
+	switch {
+	case !ln.removed.IsZero():
+		return work.Refuse(ReasonStale, staleRetry)
+	case !ln.keyed:
+		return nil
+	case !now.Before(ln.until):
+		return work.Refuse(ReasonLapsed, time.Second)
+	}
+	token, ok := ln.token(req.Slot)
+	// A request with a higher token comes from an instance that knows a newer assignment than this lease.
+	if !ok || req.Token > token {
+		return work.Refuse(ReasonStale, staleRetry)
+	}
+	return nil
+}
+
+// token returns the token under which the lane holds the slot.
+func (ln *lane) token(slot uint32) (uint64, bool) {
+	for _, r := range ln.def.GetSlots() {
+		if slot >= r.GetFirst() && slot <= r.GetLast() {
+			return r.GetToken(), true
+		}
+	}
+	return 0, false
+}
+
+// push queues a job or refuses it at once.
+func (ln *lane) push(now time.Time, j *job) error {
+	j.alone = ln.stage.cfg.Struck(now, j.req.Fingerprint)
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.used = now
+	if err := ln.permit(now, j.req); err != nil {
+		return err
+	}
+	if j.rank = slices.Index(ln.names, j.req.Rank); j.rank < 0 {
+		return &result.Error{Verdict: result.NotRun, Status: 400, Reason: ReasonRank}
+	}
+	if err := ln.blocked(now, j); err != nil {
+		return err
+	}
+	ln.account(now)
+	if ln.keyed {
+		ln.rates[j.req.Slot]++
+	}
+	if j.alone {
+		ln.alone = append(ln.alone, j)
+	} else {
+		e, after, ok := ln.queue.Push(now, j.rank, j.req.Deadline, j)
+		if !ok {
+			return work.Refuse(ReasonQueue, after)
+		}
+		j.entry = e
+	}
+	ln.pump(now)
+	return nil
+}
+
+// blocked refuses work that no server can take in useful time.
+func (ln *lane) blocked(now time.Time, j *job) error {
+	var wait time.Duration
+	var usable, frozen int
+	for _, b := range ln.servers {
+		if b.away(now) {
+			continue
+		}
+		usable++
+		if b.limit.Frozen() {
+			frozen++
+		}
+		if w := b.limit.Until(now).Sub(now); usable == 1 || w < wait {
+			wait = w
+		}
+	}
+	if usable == 0 {
+		return work.Refuse(ReasonServers, time.Second)
+	}
+	if frozen < usable {
+		return nil
+	}
+	// All are frozen: as many as the next trials can serve may wait if a trial comes soon.
+	if rest := j.req.Deadline.Sub(now); wait > rest/2 || ln.queue.Total()+len(ln.running) >= usable {
+		return work.Refuse(ReasonFrozen, max(wait, time.Second))
+	}
+	return nil
+}
+
+// withdraw takes a waiting job out. It reports false if the job's outcome has been decided.
+func (ln *lane) withdraw(j *job) bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if j.alone {
+		if i := slices.Index(ln.alone, j); i >= 0 {
+			ln.alone = slices.Delete(ln.alone, i, i+1)
+			return true
+		}
+		return false
+	}
+	return ln.queue.Cancel(j.entry)
+}
+
+// refuse ends waiting jobs that the lane may no longer send.
+func (ln *lane) refuse(now time.Time) {
+	if ln.queue == nil {
+		return
+	}
+	for _, e := range ln.queue.Drain(func(j *job) bool { return ln.permit(now, j.req) != nil }) {
+		e.Value.ready <- outcome{err: ln.permit(now, e.Value.req)}
+	}
+	ln.alone = slices.DeleteFunc(ln.alone, func(j *job) bool {
+		err := ln.permit(now, j.req)
+		if err != nil {
+			j.ready <- outcome{err: err}
+		}
+		return err != nil
+	})
+}
+
+// pump starts waiting jobs while servers can take them.
+func (ln *lane) pump(now time.Time) {
+	ln.queue.SetCapacity(ln.capacity(now))
+	for started := true; started; {
+		started = ln.startAlone(now) || ln.startNext(now)
+	}
+	ln.wake(now)
+}
+
+func (ln *lane) startNext(now time.Time) bool {
+	b := ln.pick(now)
+	if b == nil {
+		return false
+	}
+	e, expired := ln.queue.Pop(now)
+	for _, x := range expired {
+		x.Value.ready <- outcome{err: work.Refuse(ReasonDeadline, time.Second)}
+	}
+	if e == nil {
+		return false
+	}
+	ln.start(now, e.Value, b)
+	return true
+}
+
+// start gives a job to a server, unless the permission to send it has ended meanwhile.
+func (ln *lane) start(now time.Time, j *job, b *backend) {
+	if err := ln.permit(now, j.req); err != nil {
+		j.ready <- outcome{err: err}
+		return
+	}
+	if ln.keyed {
+		j.req.Token, _ = ln.token(j.req.Slot)
+		j.until = ln.until
+	}
+	ln.account(now)
+	j.server, j.started = b, now
+	b.limit.Start()
+	ln.running[j] = struct{}{}
+	j.ready <- outcome{server: b}
+}
+
+// finish frees the slot of a job.
+func (ln *lane) finish(now time.Time, j *job, b *backend, out limit.Outcome, hold time.Duration, leaving bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.account(now)
+	delete(ln.running, j)
+	took := now.Sub(j.started)
+	b.limit.Finish(now, out, took, hold)
+	if b.solo == j {
+		b.solo = nil
+	}
+	if leaving {
+		b.drained = now.Add(leavingFor)
+	}
+	if out == limit.Done {
+		ln.queue.Observe(j.rank, took)
+	}
+	ln.pump(now)
+}
+
+// released returns the revision in force if no request in progress belongs to a slot that the lane does not hold.
+func (ln *lane) released() (uint64, bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.fallback {
+		return 0, false
+	}
+	for j := range ln.running {
+		if !ln.removed.IsZero() {
+			return 0, false
+		}
+		if token, ok := ln.token(j.req.Slot); ln.keyed && (!ok || token != j.req.Token) {
+			return 0, false
+		}
+	}
+	return ln.def.GetRevision(), true
+}
--- /dev/null
+++ b/internal/flow/lanes/lanes.go
@@ -0,0 +1,294 @@
+// Package lanes is the dispatcher stage: it orders the requests of each lane by rank, holds the concurrency limits of
+// its servers and sends. All requests to a lane's servers go through the instance that dispatches the lane.
+package lanes
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/bramleycove/bramleycove/internal/flow/retry"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/plat/server"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// Reasons of refusals, as they appear in result.Error. All of them mean that the request did not run.
+const (
+	ReasonStale    = "stale-target"   // this instance does not hold the lane, slot or token
+	ReasonLapsed   = "lease-lapsed"   // it holds the slot, but its lease has ended
+	ReasonQueue    = "queue-full"     // the answer would come too late for the rank
+	ReasonDeadline = "deadline"       // the deadline passed in the queue
+	ReasonCanceled = "cancelled"      // the caller gave up in the queue
+	ReasonFrozen   = "servers-frozen" // no server of the lane has answered lately
+	ReasonServers  = "no-servers"     // the lane has no server that takes work
+	ReasonRank     = "unknown-rank"
+)
+
+// Config holds the seams of a Stage. Ranks is required, the others may be nil.
+type Config struct {
+	// Ranks returns the ranks of the tables in force, most urgent first.
+	Ranks func() []tables.Rank
+	// Servers returns the servers of an unkeyed lane that this instance serves as a fallback.
+	Servers func(lane string) []tables.Server
+	// Struck reports whether a server was lost while it ran a request with this fingerprint.
+	Struck func(now time.Time, fingerprint [32]byte) bool
+	// Strike records that the server was lost while it ran a request with this fingerprint.
+	Strike func(now time.Time, fingerprint [32]byte, server string)
+	// Seed of the waits before retries.
+	Seed uint64
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Stage dispatches the lanes of one instance. All methods may be called by many goroutines.
+type Stage struct {
+	cfg   Config
+	tasks conc.WaitGroup
+
+	mu    sync.RWMutex
+	lanes map[string]*lane
+	gone  map[string]*lane // removed by the controller, kept until their release was reported for a while
+
+	budgets sync.Mutex
+	routes  map[string]*retry.Budget
+	pause   *retry.Pause
+}
+
+// New returns a stage without lanes.
+func New(cfg Config) *Stage {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Struck == nil {
+		cfg.Struck = func(time.Time, [32]byte) bool { return false }
+	}
+	if cfg.Strike == nil {
+		cfg.Strike = func(time.Time, [32]byte, string) {}
+	}
+	if cfg.Servers == nil {
+		cfg.Servers = func(string) []tables.Server { return nil }
+	}
+	return &Stage{
+		cfg: cfg, lanes: make(map[string]*lane), gone: make(map[string]*lane),
+		routes: make(map[string]*retry.Budget), pause: retry.NewPause(cfg.Seed),
+	}
+}
+
+// goneFor is how long the release of a removed lane is repeated, since heartbeats can be lost.
+const goneFor = 30 * time.Second
+
+// Update sets the lanes that this instance dispatches until until, a time of the local monotonic clock. A lane that
+// is missing is removed: nothing that waits in it is sent any more, and its requests in progress end normally.
+func (s *Stage) Update(now time.Time, in []*peerpb.Lane, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[string]bool, len(in))
+	for _, def := range in {
+		present[def.GetName()] = true
+		ln := s.lanes[def.GetName()]
+		if ln == nil {
+			// A lane that returns keeps its requests in progress, whose slots may not have been released yet.
+			if ln = s.gone[def.GetName()]; ln == nil {
+				ln = newLane(s, def.GetName())
+			}
+			delete(s.gone, def.GetName())
+			s.lanes[def.GetName()] = ln
+		}
+		ln.apply(now, def, until)
+	}
+	for name, ln := range s.lanes {
+		if present[name] || ln.keepFallback(now) {
+			continue
+		}
+		delete(s.lanes, name)
+		ln.remove(now)
+		s.gone[name] = ln
+	}
+	for name, ln := range s.gone {
+		if ln.forget(now) {
+			delete(s.gone, name)
+			ln.close()
+		}
+	}
+}
+
+// Released returns, for each lane, the revision in force here whose removed slots, or whole lane, have no request in
+// progress any more. A lane that was removed appears with the last revision that this instance was told.
+func (s *Stage) Released() []*peerpb.Release {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []*peerpb.Release
+	for _, set := range []map[string]*lane{s.lanes, s.gone} {
+		for _, ln := range set {
+			if rev, ok := ln.released(); ok {
+				out = append(out, &peerpb.Release{Lane: ln.name, Revision: rev})
+			}
+		}
+	}
+	return out
+}
+
+// Reports returns what was observed of each server since the last call.
+func (s *Stage) Reports(now time.Time) []*peerpb.ServerReport {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []*peerpb.ServerReport
+	for _, ln := range s.lanes {
+		out = append(out, ln.reports(now)...)
+	}
+	return out
+}
+
+// Lanes returns the names of the lanes that this instance dispatches, fallback lanes included.
+func (s *Stage) Lanes() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]string, 0, len(s.lanes))
+	for name := range s.lanes {
+		out = append(out, name)
+	}
+	return out
+}
+
+// Close closes all connections to servers, those in use after their request.
+func (s *Stage) Close() {
+	defer s.tasks.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, set := range []map[string]*lane{s.lanes, s.gone} {
+		for name, ln := range set {
+			ln.remove(s.cfg.Now())
+			ln.close()
+			delete(set, name)
+		}
+	}
+}
+
+// find returns the lane, creating an unkeyed one that this instance may serve as a fallback.
+func (s *Stage) find(name string) *lane {
+	s.mu.RLock()
+	ln := s.lanes[name]
+	s.mu.RUnlock()
+	if ln != nil || keyedName(name) {
+		return ln
+	}
+	servers := s.cfg.Servers(name)
+	if len(servers) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ln = s.lanes[name]; ln == nil {
+		ln = newLane(s, name)
+		ln.fallback = true
+		ln.apply(s.cfg.Now(), fallbackDef(name, servers), time.Time{})
+		s.lanes[name] = ln
+	}
+	return ln
+}
+
+// keyedName tells the lanes of keyed pools, pool/server, from pool/dc/n.
+func keyedName(name string) bool { return strings.Count(name, "/") == 1 }
+
+func fallbackDef(name string, servers []tables.Server) *peerpb.Lane {
+	pool, _, _ := strings.Cut(name, "/")
+	def := &peerpb.Lane{Name: name, Pool: pool}
+	for _, sv := range servers {
+		// One connection each: several fallbacks and the dispatcher together stay within the server's limits.
+		def.Servers = append(def.Servers, &peerpb.Server{
+			Name: sv.Name, Address: sv.Address.String(), Leaving: sv.Leaving, Slots: 1, Connections: 1,
+		})
+	}
+	return def
+}
+
+// Do sends req to a server of its lane and returns the whole answer. Errors are *result.Error. It sends again, within
+// the route's budget, only when a server has certainly not run the request. ctx must end at req.Deadline or earlier.
+func (s *Stage) Do(ctx context.Context, req *work.Request) (work.Answer, error) {
+	s.earn(req.Route)
+	for attempt := 1; ; attempt++ {
+		a, err := s.try(ctx, req)
+		if err == nil {
+			return a, nil
+		}
+		wait, ok := s.again(req, err, attempt)
+		if !ok || !sleep(ctx, wait) {
+			return a, err
+		}
+	}
+}
+
+func (s *Stage) try(ctx context.Context, req *work.Request) (work.Answer, error) {
+	for {
+		ln := s.find(req.Lane)
+		if ln == nil {
+			return work.Answer{}, work.Refuse(ReasonStale, staleRetry)
+		}
+		j := &job{req: req, ctx: ctx, ready: make(chan outcome, 1)}
+		if err := ln.push(s.cfg.Now(), j); err != nil {
+			return work.Answer{}, err
+		}
+		out := ln.await(j)
+		switch {
+		case out.moved:
+			continue
+		case out.err != nil:
+			return work.Answer{}, out.err
+		}
+		return ln.send(j, out.server)
+	}
+}
+
+// staleRetry is the time to retry after while the views of two instances differ; a heartbeat later they agree.
+const staleRetry = 300 * time.Millisecond
+
+const maxAttempts = 3
+
+func (s *Stage) earn(route string) {
+	s.budgets.Lock()
+	defer s.budgets.Unlock()
+	s.budget(route).Earn()
+}
+
+func (s *Stage) budget(route string) *retry.Budget {
+	b := s.routes[route]
+	if b == nil {
+		b = new(retry.Budget)
+		s.routes[route] = b
+	}
+	return b
+}
+
+// again reports whether req may be sent once more, and after which wait.
+func (s *Stage) again(req *work.Request, err error, attempt int) (time.Duration, bool) {
+	if !req.Retry || attempt >= maxAttempts || !retryable(err) {
+		return 0, false
+	}
+	s.budgets.Lock()
+	defer s.budgets.Unlock()
+	if !s.budget(req.Route).Take() {
+		return 0, false
+	}
+	return s.pause.Next(attempt), true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newClient opens at most twice as many connections as the server has concurrency slots, so that a second dispatcher
+// that was frozen and returns still finds the server within its limit.
+func newClient(addr netip.AddrPort, slots int) *server.Client { return server.New(addr, 2*slots) }
--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -65,6 +65,15 @@
 // New returns an empty queue. Ranks whose shares add up to more than 1 are scaled down to 1.
 func New[T any](ranks []Rank) *Queue[T] {
 	q := &Queue[T]{classes: make([]class[T], len(ranks)), capacity: 1}
+	for i := range q.classes {
+		q.classes[i].cost = initialCost
+	}
+	q.SetRanks(ranks)
+	return q
+}
+
+// SetRanks changes shares and targets. The number of ranks must be that given to New.
+func (q *Queue[T]) SetRanks(ranks []Rank) {
 	sum := 0.0
 	for _, r := range ranks {
 		sum += r.Share
@@ -73,9 +82,8 @@
 		if sum > 1 {
 			r.Share /= sum
 		}
-		q.classes[i] = class[T]{Rank: r, cost: initialCost}
+		q.classes[i].Rank = r
 	}
-	return q
 }
 
 // SetCapacity sets how many requests the servers can run at the same time.
--- /dev/null
+++ b/internal/flow/work/watch.go
@@ -0,0 +1,41 @@
+package work
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// watchEvery is the interval between two looks at a caller's connection. Most requests end before the first.
+const watchEvery = 100 * time.Millisecond
+
+// Watch calls gone once when the remote side of c closes it, and looks for that only until stop is called. The HTTP
+// server reads nothing from the connection while a request is being handled, so it does not notice by itself. gone is
+// not called after stop has returned.
+func Watch(c net.Conn, gone func()) (stop func()) {
+	var (
+		mu    sync.Mutex
+		done  bool
+		timer *time.Timer
+	)
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(watchEvery, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case done:
+		case Broken(c):
+			done = true
+			gone()
+		default:
+			timer.Reset(watchEvery)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		done = true
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/peer/pass/pass_test.go
@@ -0,0 +1,221 @@
+package pass_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/peer/pass"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/view"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// instance is one instance with a peer listener.
+type instance struct {
+	*view.View
+	*pass.Passer
+	addr  netip.AddrPort
+	stage *lanes.Stage
+}
+
+// serve runs a fasthttp server on a port that the kernel chooses, until the test ends.
+func serve(tb testing.TB, srv *fasthttp.Server) func(net.Listener) {
+	return func(ln net.Listener) {
+		var wg conc.WaitGroup
+		wg.Go(func() { _ = srv.Serve(ln) })
+		tb.Cleanup(func() {
+			_ = srv.Shutdown()
+			wg.Wait()
+		})
+	}
+}
+
+func listen(tb testing.TB) (net.Listener, netip.AddrPort) {
+	tb.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return ln, netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func newInstance(tb testing.TB, dc string, t *tables.Tables) *instance {
+	ln, addr := listen(tb)
+	in := &instance{View: view.New(dc, addr), addr: addr}
+	in.SetTables(t)
+	in.stage = lanes.New(lanes.Config{
+		Ranks: func() []tables.Rank { return t.Ranks }, Servers: in.Servers, Seed: 1,
+	})
+	in.Passer = pass.New(in.View, in.stage.Do)
+	serve(tb, in.Server(func(c *fasthttp.RequestCtx) { c.SetStatusCode(fasthttp.StatusTeapot) }))(ln)
+	tb.Cleanup(in.stage.Close)
+	tb.Cleanup(in.Passer.Close)
+	return in
+}
+
+// backend answers each request with the headers of the server protocol in its body.
+func backend(tb testing.TB) netip.AddrPort {
+	ln, addr := listen(tb)
+	serve(tb, &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		h := &c.Request.Header
+		c.Response.Header.SetBytesV(work.RequestID, h.Peek(work.RequestID))
+		_, _ = fmt.Fprintf(c, "%s %s pool=%s slot=%s token=%s rank=%s body=%s", h.Method(), h.RequestURI(),
+			h.Peek("Pool"), h.Peek("Slot"), h.Peek("Token"), h.Peek("Rank"), c.Request.Body())
+	}})(ln)
+	return addr
+}
+
+func testTables(server netip.AddrPort) *tables.Tables {
+	sv := tables.Server{Name: "s1", Address: server, DC: "b1", Slots: 3, Checks: true}
+	un := sv
+	un.Name = "u1"
+	return &tables.Tables{
+		Ranks:   []tables.Rank{{Name: "urgent", Share: 0.6, Target: time.Second}},
+		Pools:   []tables.Pool{{Name: "cat", Keyed: true, Slots: 1, Servers: []tables.Server{sv}}, {Name: "cut", Servers: []tables.Server{un}}},
+		Regions: []tables.Region{{Name: "b", DCs: []string{"a1", "b1"}}},
+	}
+}
+
+func request(pool string) *work.Request {
+	return &work.Request{
+		ID: "r1", Pool: pool, Key: "k", Rank: "urgent", Deadline: time.Now().Add(5 * time.Second), Origin: "a1",
+		Method: "POST", URI: "/x?y=%20z", Host: "shop", Body: []byte("net"),
+		Headers: []work.Header{{Name: "Content-Type", Value: "text/plain"}},
+	}
+}
+
+// fleet is an entry instance in a1, and two instances in b1 of which the second dispatches the lanes.
+func fleet(tb testing.TB) (entry, via, disp *instance) {
+	t := testTables(backend(tb))
+	entry, via, disp = newInstance(tb, "a1", t), newInstance(tb, "b1", t), newInstance(tb, "b1", t)
+	members := []*peerpb.Member{{Peer: via.addr.String()}, {Peer: disp.addr.String(), Lanes: []string{"cat/s1", "cut/b1/0"}}}
+	for _, in := range []*instance{entry, via, disp} {
+		in.SetSlots("cat", []fold.Slot{{DC: "b1", Owner: "s1", Token: 7}})
+		in.SetList(roster.List{Instances: []roster.Instance{{DC: "b1", Peer: via.addr}}})
+	}
+	via.SetCell(members, nil)
+	disp.SetCell(members, nil)
+	disp.update(7, 1)
+	return entry, via, disp
+}
+
+// update gives the lanes to the instance.
+func (in *instance) update(token, revision uint64) {
+	sv := in.Tables().Pools[0].Servers[0]
+	def := func(name, lane string) *peerpb.Lane {
+		return &peerpb.Lane{Name: lane, Pool: name, Revision: revision, Servers: []*peerpb.Server{
+			{Name: sv.Name, Address: sv.Address.String(), Slots: 3, Checks: true},
+		}}
+	}
+	keyed := def("cat", "cat/s1")
+	keyed.Slots = []*peerpb.Range{{First: 0, Last: 0, Token: token}}
+	now := time.Now()
+	in.stage.Update(now, []*peerpb.Lane{keyed, def("cut", "cut/b1/0")}, now.Add(time.Minute))
+}
+
+// Guards against a request or an answer that changes on its way over two hops, one hop and none.
+func TestHops(t *testing.T) {
+	entry, via, disp := fleet(t)
+	for name, in := range map[string]*instance{"two hops": entry, "one hop": via, "itself": disp} {
+		a, err := in.Send(context.Background(), request("cat"))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		want := "POST /x?y=%20z pool=cat slot=0 token=7 rank=urgent body=net"
+		if a.Status != 200 || string(a.Body) != want {
+			t.Errorf("%s: %d %q", name, a.Status, a.Body)
+		}
+	}
+}
+
+// Guards against other handlers of the listener being cut off, and against a hop without its headers.
+func TestHandler(t *testing.T) {
+	_, via, _ := fleet(t)
+	status, _, err := fasthttp.Get(nil, "http://"+via.addr.String()+"/twirp/x")
+	if err != nil || status != fasthttp.StatusTeapot {
+		t.Errorf("other handler: %d, %v", status, err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + via.addr.String() + "/x")
+	req.Header.Set("Bramleycove-Hops", "1")
+	if err := fasthttp.Do(req, resp); err != nil || resp.StatusCode() != 400 || string(resp.Header.Peek(result.Header)) != "not-run" {
+		t.Errorf("malformed hop: %v\n%v", err, resp)
+	}
+}
+
+// Guards against a stale target that is refused although a newer view knows the right one.
+func TestStaleTarget(t *testing.T) {
+	_, via, disp := fleet(t)
+	via.SetSlots("cat", []fold.Slot{{DC: "b1", Owner: "s1", Token: 9}})
+	if _, err := send(via, request("cat"), nil); result.From(err).Reason != lanes.ReasonStale || result.From(err).Verdict != result.NotRun {
+		t.Fatalf("token newer than the lease: %v", err)
+	}
+	a, err := send(via, request("cat"), func() {
+		disp.update(9, 2)
+		via.SetList(roster.List{})
+	})
+	if err != nil || a.Status != 200 {
+		t.Errorf("after the newer view: %v", err)
+	}
+}
+
+// send sends and, after the first attempt began, calls change.
+func send(in *instance, req *work.Request, change func()) (a work.Answer, err error) {
+	var wg conc.WaitGroup
+	wg.Go(func() { a, err = in.Send(context.Background(), req) })
+	if change != nil {
+		change()
+	}
+	wg.Wait()
+	return a, err
+}
+
+// Guards against a lost dispatcher stopping an unkeyed lane, and against a keyed lane being served without a lease.
+func TestLostDispatcher(t *testing.T) {
+	_, via, _ := fleet(t)
+	ln, dead := listen(t)
+	_ = ln.Close()
+	via.SetCell([]*peerpb.Member{
+		{Peer: via.addr.String()}, {Peer: dead.String(), Lanes: []string{"cat/s1", "cut/b1/0"}},
+	}, nil)
+	if a, err := via.Send(context.Background(), request("cut")); err != nil || a.Status != 200 {
+		t.Errorf("unkeyed: %v", err)
+	}
+	_, err := via.Send(context.Background(), request("cat"))
+	if e := result.From(err); e.Verdict != result.NotRun || e.Reason != pass.ReasonUnreachable {
+		t.Errorf("keyed: %v", err)
+	}
+}
+
+// Guards against a lost hop that is reported as not run after a byte of the request was sent.
+func TestLostHop(t *testing.T) {
+	_, via, _ := fleet(t)
+	ln, addr := listen(t)
+	defer func() { _ = ln.Close() }()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if c, err := ln.Accept(); err == nil {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+		}
+	})
+	via.SetCell([]*peerpb.Member{{Peer: addr.String(), Lanes: []string{"cat/s1"}}}, nil)
+	_, err := via.Send(context.Background(), request("cat"))
+	if e := result.From(err); e.Verdict != result.MayHaveRun || e.Status != 504 || e.Reason != pass.ReasonLost {
+		t.Errorf("lost hop: %v", err)
+	}
+	wg.Wait()
+}
