Add planner of slot owners

Cause: a controller needs to know which slots have to move and which moves are worth making. Change: package plan places slots without a usable owner on the least loaded servers, and moves at most one slot in 50 a round off servers above 1.2 times the mean load, down to 1.1, with a cool-down of a minute per slot.

--- /dev/null
+++ b/internal/place/plan/plan.go
@@ -0,0 +1,172 @@
+// Package plan decides which backend server should own which slot of one pool in one data centre. It holds no clock
+// and sends nothing; the controller carries its moves out.
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Server is a backend server that may own slots.
+type Server struct {
+	Name     string
+	Capacity float64 // relative: concurrency slots times ramp
+	Up       bool
+	Leaving  bool
+}
+
+// Slot is the present state of a slot. Its number is its index in the argument of Decide.
+type Slot struct {
+	Owner string  // empty if nobody owns it
+	Load  float64 // requests per second, 0 if unknown
+}
+
+// Move gives a slot to another server.
+type Move struct {
+	Slot uint32
+	To   string
+}
+
+const (
+	// startRatio is the largest load over the mean at which balancing starts.
+	startRatio = 1.2
+	// stopRatio is lower, so that balancing that has started leaves a margin before it starts again.
+	stopRatio = 1.1
+	// roundShare is the part of all slots that one round may move for balance: one in roundShare.
+	roundShare = 50
+	// coolDown is how long a moved slot stays where it is unless its server is lost.
+	coolDown = time.Minute
+	// settle is how long a move counts as done although its slot still shows the old owner: a planned move waits for
+	// the requests in progress. Without it each round would repeat the moves of the last.
+	settle = 10 * time.Second
+	// baseShare is the weight, in mean loads, that each slot has beside its load. Slots without load spread evenly by it.
+	baseShare = 0.1
+	// minGain is the part of the excess load that a round of moves has to remove. Emptying a server around a single
+	// hot slot costs churn and gains nothing.
+	minGain = 0.01
+	// swapMargin is the part of the excess load by which a target must stay below the load that its source had.
+	swapMargin = 0.25
+)
+
+// Planner decides about one pool in one data centre and remembers its recent moves. The zero value is ready for use.
+// It is not safe for concurrent use.
+type Planner struct {
+	active bool // balancing started at startRatio and has not yet reached stopRatio
+	moved  map[uint32]moved
+}
+
+type moved struct {
+	to string
+	at time.Time
+}
+
+// Decide returns the moves of one round. Slots whose owner is gone, down or leaving come first and are always moved,
+// again in each round until the slot shows its new owner. When no server is usable there are no moves.
+func (p *Planner) Decide(now time.Time, servers []Server, slots []Slot) []Move {
+	p.forget(now, len(slots))
+	r := newRound(servers, slots)
+	if len(r.nodes) == 0 {
+		return nil
+	}
+	out := p.mandatory(now, r)
+	return p.balance(now, r, out)
+}
+
+func (p *Planner) forget(now time.Time, slots int) {
+	for slot, m := range p.moved {
+		if now.Sub(m.at) >= coolDown || int(slot) >= slots {
+			delete(p.moved, slot)
+		}
+	}
+}
+
+func (p *Planner) remember(now time.Time, slot uint32, to string) {
+	if p.moved == nil {
+		p.moved = make(map[uint32]moved)
+	}
+	p.moved[slot] = moved{to: to, at: now}
+}
+
+// mandatory places each slot that is with a usable server on it, and moves all others.
+func (p *Planner) mandatory(now time.Time, r *round) []Move {
+	var out []Move
+	var homeless []uint32
+	for i, s := range r.slots {
+		slot := uint32(i)
+		m, recent := p.moved[slot]
+		target, usable := r.byName[m.to]
+		owner, owned := r.byName[s.Owner]
+		switch {
+		case recent && usable && (!owned || now.Sub(m.at) < settle):
+			// The move of an earlier round has not been carried out yet, or has just been.
+			r.place(slot, target)
+			if !owned {
+				out = append(out, Move{Slot: slot, To: m.to})
+			}
+		case owned:
+			r.place(slot, owner)
+		default:
+			homeless = append(homeless, slot)
+		}
+	}
+	slices.SortStableFunc(homeless, func(a, b uint32) int { return cmp.Compare(r.weight[b], r.weight[a]) })
+	for _, slot := range homeless {
+		to := r.freest(r.weight[slot])
+		r.place(slot, to)
+		p.remember(now, slot, to.Name)
+		out = append(out, Move{Slot: slot, To: to.Name})
+	}
+	return out
+}
+
+// balance moves slots off the servers whose load exceeds the bound, hottest server and hottest slot first.
+func (p *Planner) balance(now time.Time, r *round, out []Move) []Move {
+	bound := startRatio
+	if p.active {
+		bound = stopRatio
+	}
+	bound *= r.mean
+	p.active = false
+	r.sort()
+	budget := max(1, len(r.slots)/roundShare)
+	for left := budget; left > 0; {
+		src := r.hottest(bound)
+		if src == nil {
+			break
+		}
+		slot, to := p.pick(r, src, budget)
+		if to == nil {
+			src.exhausted = true
+			continue
+		}
+		r.shift(slot, src, to)
+		p.remember(now, slot, to.Name)
+		out = append(out, Move{Slot: slot, To: to.Name})
+		p.active = true
+		bound = stopRatio * r.mean
+		left--
+	}
+	return out
+}
+
+// pick returns the hottest slot of src that helps and its new server, nil if there is none.
+func (p *Planner) pick(r *round, src *node, budget int) (uint32, *node) {
+	excess := src.load() - r.mean
+	for src.next < len(src.slots) {
+		slot := src.slots[src.next]
+		src.next++
+		w := r.weight[slot]
+		if w/src.Capacity*float64(budget) < minGain*excess {
+			break // the slots after it are lighter still
+		}
+		if _, recent := p.moved[slot]; recent {
+			continue
+		}
+		to := r.freest(w)
+		if to != src && (to.sum+w)/to.Capacity <= src.load()-swapMargin*excess {
+			return slot, to
+		}
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/place/plan/round.go
@@ -0,0 +1,118 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// node is a usable server with the slots that it has so far in this round.
+type node struct {
+	Server
+	sum       float64  // weight of its slots
+	slots     []uint32 // heaviest first once sorted
+	next      int      // slots before it were considered in this round
+	exhausted bool     // no slot of it helps
+}
+
+func (n *node) load() float64 { return n.sum / n.Capacity }
+
+// round is the working state of one decision.
+type round struct {
+	slots  []Slot
+	weight []float64
+	nodes  []*node // by name, so that the order of the argument does not matter
+	byName map[string]*node
+	mean   float64 // load per capacity if all were balanced
+}
+
+func newRound(servers []Server, slots []Slot) *round {
+	r := &round{slots: slots, weight: weights(slots), byName: make(map[string]*node)}
+	for _, s := range servers {
+		if s.Up && !s.Leaving && s.Name != "" && r.byName[s.Name] == nil {
+			r.byName[s.Name] = &node{Server: s}
+			r.nodes = append(r.nodes, r.byName[s.Name])
+		}
+	}
+	slices.SortFunc(r.nodes, func(a, b *node) int { return strings.Compare(a.Name, b.Name) })
+	r.scale()
+	return r
+}
+
+// minCapacity is the least capacity of a server relative to the largest. It keeps loads finite when a server that
+// is up reports no capacity at the start of its ramp.
+const minCapacity = 0.01
+
+func (r *round) scale() {
+	largest := 0.0
+	for _, n := range r.nodes {
+		largest = max(largest, n.Capacity)
+	}
+	if largest == 0 {
+		largest = 1 / minCapacity
+	}
+	var total, capacity float64
+	for _, n := range r.nodes {
+		n.Capacity = max(n.Capacity, largest*minCapacity)
+		capacity += n.Capacity
+	}
+	for _, w := range r.weight {
+		total += w
+	}
+	r.mean = total / capacity
+}
+
+// weights returns the load of each slot plus the base weight; all are 1 if no load is known.
+func weights(slots []Slot) []float64 {
+	out := make([]float64, len(slots))
+	total := 0.0
+	for i, s := range slots {
+		out[i] = max(s.Load, 0)
+		total += out[i]
+	}
+	base := baseShare * total / float64(len(slots))
+	if total == 0 {
+		base = 1
+	}
+	for i := range out {
+		out[i] += base
+	}
+	return out
+}
+
+func (r *round) place(slot uint32, n *node) {
+	n.slots = append(n.slots, slot)
+	n.sum += r.weight[slot]
+}
+
+// shift moves the slot just picked. It stays in the source's list, before next.
+func (r *round) shift(slot uint32, from, to *node) {
+	from.sum -= r.weight[slot]
+	to.sum += r.weight[slot]
+}
+
+// freest returns the server that has the lowest load after taking weight w.
+func (r *round) freest(w float64) *node {
+	return slices.MinFunc(r.nodes, func(a, b *node) int {
+		return cmp.Compare((a.sum+w)/a.Capacity, (b.sum+w)/b.Capacity)
+	})
+}
+
+// hottest returns the server with the highest load above bound that may still have a slot that helps, or nil.
+func (r *round) hottest(bound float64) *node {
+	var out *node
+	for _, n := range r.nodes {
+		if !n.exhausted && n.load() > bound && (out == nil || n.load() > out.load()) {
+			out = n
+		}
+	}
+	return out
+}
+
+func (r *round) sort() {
+	for _, n := range r.nodes {
+		slices.SortFunc(n.slots, func(a, b uint32) int {
+			return cmp.Or(cmp.Compare(r.weight[b], r.weight[a]), cmp.Compare(a, b))
+		})
+	}
+}
