--- /dev/null
+++ b/internal/peer/relay/start.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// Peer is another instance that may know the state.
+type Peer struct {
+	Name string
+	// State returns the peer's fold of this stream, with Asof 0 if it has none yet.
+	State func(ctx context.Context) (*record.Snapshot, error)
+}
+
+// Origin finds the state at which an instance enters a stream.
+type Origin struct {
+	Peers func() []Peer
+	// Read reads the log itself.
+	Read func(ctx context.Context, from uint64, wait time.Duration, limit int) (logsvc.Batch, error)
+	// Adopt replaces the fold's state. It reports false, and changes nothing, when the state is damaged or the fold has
+	// passed it.
+	Adopt func(*record.Snapshot) bool
+	// Failed is told why an attempt of Start failed. May be nil.
+	Failed func(err error)
+}
+
+// NoStateError says that the log was trimmed and neither a peer nor the log offers a state that covers the loss.
+type NoStateError struct {
+	First uint64 // oldest offset retained
+}
+
+// Error names the oldest offset retained.
+func (e *NoStateError) Error() string {
+	return fmt.Sprintf("no state covers the records trimmed before offset %d", e.First)
+}
+
+const (
+	// peerTimeout bounds the wait for peers; one that is cut off must not delay the start of an instance.
+	peerTimeout  = time.Second
+	retryPause   = 500 * time.Millisecond
+	scanTimeout  = 5 * time.Second
+	startTimeout = time.Minute
+)
+
+// Start finds the state for an instance that has none, from peers first, so that it works while the log is down. It
+// returns the offset of the state adopted, or 0 when nothing was trimmed and the fold begins at offset 1. It tries
+// until ctx is done.
+func (o *Origin) Start(ctx context.Context) (uint64, error) {
+	for {
+		asof, err := o.attempt(ctx, 0, 0)
+		if err == nil {
+			return asof, nil
+		}
+		if ctx.Err() != nil {
+			return 0, err
+		}
+		if o.Failed != nil {
+			o.Failed(err)
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// Resume finds a state for a fold at offset have that has lost the records before first. It makes one attempt. It fits
+// Seams.Gap.
+func (o *Origin) Resume(ctx context.Context, have, first uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return o.attempt(ctx, have, first)
+}
+
+func (o *Origin) attempt(ctx context.Context, have, first uint64) (uint64, error) {
+	if asof := o.askPeers(ctx, have, first); asof != 0 {
+		return asof, nil
+	}
+	return o.scan(ctx, have)
+}
+
+// askPeers adopts the state with the highest offset. It returns 0 if no peer has a usable one.
+func (o *Origin) askPeers(ctx context.Context, have, first uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	peers := o.Peers()
+	states := make([]*record.Snapshot, len(peers))
+	var wg conc.WaitGroup
+	for i, p := range peers {
+		wg.Go(func() {
+			if s, err := p.State(ctx); err == nil {
+				states[i] = s
+			}
+		})
+	}
+	wg.Wait()
+	slices.SortStableFunc(states, func(a, b *record.Snapshot) int { return cmp.Compare(b.GetAsof(), a.GetAsof()) })
+	for _, s := range states {
+		if s.GetAsof() > have && fold.Covers(s.GetAsof(), first) && o.Adopt(s) {
+			return s.GetAsof()
+		}
+	}
+	return 0
+}
+
+// scan looks in the log for the oldest snapshot that covers everything trimmed. Records after it are folded anyway.
+func (o *Origin) scan(ctx context.Context, have uint64) (uint64, error) {
+	first := uint64(0)
+	for from := uint64(1); ; {
+		batch, err := o.readLog(ctx, from)
+		if err != nil {
+			return 0, errors.Wrap(err, "scan log for a snapshot")
+		}
+		// Records may be trimmed during the scan, so the condition is the one of the latest answer.
+		if first = batch.First; !fold.Gap(have, first) {
+			return have, nil
+		}
+		for _, rec := range batch.Records {
+			if s := usable(rec, have, first); s != nil && o.Adopt(s) {
+				return s.GetAsof(), nil
+			}
+			from = rec.Offset + 1
+		}
+		from = max(from, first)
+		if len(batch.Records) == 0 || from >= batch.Next {
+			return 0, &NoStateError{First: first}
+		}
+	}
+}
+
+func (o *Origin) readLog(ctx context.Context, from uint64) (logsvc.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
+	defer cancel()
+	return o.Read(ctx, from, 0, readLimit)
+}
+
+// usable returns the snapshot in rec if a fold at offset have may adopt it, else nil.
+func usable(rec logsvc.Record, have, first uint64) *record.Snapshot {
+	s := fold.Decode(rec.Data).GetSnapshot()
+	if s == nil || s.GetAsof() >= rec.Offset || s.GetAsof() <= have || !fold.Covers(s.GetAsof(), first) {
+		return nil
+	}
+	return s
+}
--- /dev/null
+++ b/internal/peer/relay/start_test.go
@@ -0,0 +1,162 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/bramleycove/bramleycove/internal/peer/relay"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+func origin(n *node, l *memLog, peers ...relay.Peer) *relay.Origin {
+	return &relay.Origin{Peers: func() []relay.Peer { return peers }, Read: l.read, Adopt: n.adopt}
+}
+
+func peer(s *record.Snapshot, err error) relay.Peer {
+	return relay.Peer{State: func(context.Context) (*record.Snapshot, error) { return s, err }}
+}
+
+// Guards against an instance that cannot start during an outage of the log, and against taking the lower state.
+func TestStartFromPeersWhileLogIsDown(t *testing.T) {
+	l := memLog{down: true}
+	var n node
+	at := func(asof uint64) *record.Snapshot {
+		return &record.Snapshot{Asof: asof, Config: &record.Config{Version: asof}}
+	}
+	o := origin(&n, &l, peer(at(7), nil), peer(nil, errDown), peer(at(9), nil), peer(at(0), nil))
+	if asof, err := o.Start(t.Context()); err != nil || asof != 9 || n.cfg.Version != 9 {
+		t.Fatalf("started at %d (%v) with version %d, want 9", asof, err, n.cfg.Version)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	o = origin(new(node), &l, peer(at(0), nil))
+	o.Failed = func(error) { cancel() }
+	if _, err := o.Start(ctx); !errors.Is(err, errDown) {
+		t.Fatalf("start without peers and log: %v", err)
+	}
+}
+
+// Guards against a tail that stands still or skips records after the log, or all relays and a log that is down,
+// dropped records that it has not seen.
+func TestGapIsBridged(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprint("down=", down), func(t *testing.T) {
+			var l memLog
+			var ahead, n node
+			last := extend(&l, 0, 100)
+			b, _ := l.look(1, 100)
+			for _, r := range b.Records {
+				ahead.deliver(r.Offset, r.Data)
+			}
+			l.set(func() { l.trim(60) })
+			old := l.read
+			run(t, &n, &l, func(s *relay.Seams) {
+				s.Gap = func(ctx context.Context, first uint64) (uint64, error) {
+					return origin(&n, &l, peer(ahead.state(), nil)).Resume(ctx, n.state().GetAsof(), first)
+				}
+				if down {
+					l.down = true
+					s.Sources = func() []relay.Source {
+						up := memLog{recs: l.recs, trims: l.trims}
+						return []relay.Source{source("relay", false, up.read), source("log", true, old)}
+					}
+				}
+			})
+			until(t, "gap is bridged", n.at(last))
+			if n.cfg.Version != last || !slices.Equal(n.versions, []uint64{last}) {
+				t.Fatalf("versions %v, want only %d", n.versions, last)
+			}
+		})
+	}
+}
+
+// Guards against a version that reverts, or a state other than that of a reader of the whole stream, because of a
+// snapshot that is stale, racing or damaged after trimming.
+func TestStaleSnapshotNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l memLog
+		var whole node
+		states := []*record.Snapshot{}
+		for range rapid.IntRange(1, 60).Draw(t, "records") {
+			switch {
+			case len(states) > 0 && rapid.IntRange(0, 2).Draw(t, "kind") == 0:
+				s := rapid.SampledFrom(states).Draw(t, "state")
+				if rapid.IntRange(0, 5).Draw(t, "damage") == 0 {
+					s = &record.Snapshot{Asof: s.GetAsof() + 100, Config: s.GetConfig()}
+				}
+				l.append(snapshot(s))
+			default:
+				l.append(publish(whole.cfg.Version - uint64(rapid.IntRange(0, 1).Draw(t, "stale"))))
+			}
+			r := l.recs[len(l.recs)-1]
+			whole.deliver(r.Offset, r.Data)
+			states = append(states, whole.state())
+		}
+		l.trim(rapid.IntRange(0, len(l.recs)).Draw(t, "trim"))
+		var n node
+		peers := []relay.Peer{}
+		if rapid.Bool().Draw(t, "peer") {
+			peers = append(peers, peer(rapid.SampledFrom(states).Draw(t, "peerstate"), nil))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		o := origin(&n, &l, peers...)
+		o.Failed = func(error) { cancel() }
+		asof, err := o.Start(ctx)
+		if err != nil {
+			var none *relay.NoStateError
+			if !errors.As(err, &none) {
+				t.Fatalf("start: %v", err)
+			}
+			return
+		}
+		b, _ := l.look(asof+1, len(l.recs)+1)
+		if fold.Gap(asof, b.First) {
+			return // the tail asks for a newer state
+		}
+		for _, r := range b.Records {
+			n.deliver(r.Offset, r.Data)
+		}
+		if !proto.Equal(n.state(), whole.state()) || !slices.IsSorted(n.versions) {
+			t.Fatalf("state %v after versions %v, want %v", n.state(), n.versions, whole.state())
+		}
+	})
+}
+
+// Guards against streams without a recent snapshot, and against one from every controller at once.
+func TestSnapshotDue(t *testing.T) {
+	now := time.Unix(0, 0)
+	minutes := func(m int) time.Time { return now.Add(time.Duration(m) * time.Minute) }
+	for _, c := range []struct {
+		at     time.Time
+		offset uint64
+		rank   int
+		want   bool
+	}{
+		{now, 1099, 0, false},
+		{now, 1100, 0, true},
+		{now, 1100, 1, false},
+		{now, 1350, 1, true},
+		{minutes(9), 100, 0, false},
+		{minutes(10), 100, 0, true},
+		{minutes(10), 100, 1, false},
+		{minutes(13), 100, 1, true},
+		{minutes(60), 100, -1, false},
+	} {
+		var s relay.Snapshots
+		s.Seen(now, 100)
+		if got := s.Due(c.at, c.offset, c.rank); got != c.want {
+			t.Errorf("at %v, offset %d, rank %d: due %v, want %v", c.at, c.offset, c.rank, got, c.want)
+		}
+		if s.Due(c.at, c.offset, c.rank) {
+			t.Errorf("at %v: due again at once", c.at)
+		}
+	}
+}
