--- /dev/null
+++ b/internal/place/lease/quorum.go
@@ -0,0 +1,67 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// Majority returns how many of n witnesses give authority.
+func Majority(n int) int { return n/2 + 1 }
+
+// Quorum tracks the confirmations of one pair by one witness set. It is not safe for concurrent use.
+type Quorum struct {
+	seen map[string]time.Time // zero: never confirmed
+	gone map[string]bool
+}
+
+// NewQuorum returns a quorum of the witness set ids without confirmations.
+func NewQuorum(ids []string) *Quorum {
+	q := &Quorum{seen: make(map[string]time.Time, len(ids)), gone: make(map[string]bool)}
+	for _, id := range ids {
+		q.seen[id] = time.Time{}
+	}
+	return q
+}
+
+// Confirm notes that witness id confirmed the pair certainly after before. It reports whether id is in the set.
+func (q *Quorum) Confirm(id string, before time.Time) bool {
+	last, ok := q.seen[id]
+	if ok && before.After(last) {
+		q.seen[id] = before
+	}
+	return ok
+}
+
+// Gone sets whether the platform's word is that witness id no longer exists. It then counts as confirming.
+func (q *Quorum) Gone(id string, gone bool) {
+	if gone {
+		q.gone[id] = true
+	} else {
+		delete(q.gone, id)
+	}
+}
+
+// Until returns the time at which the majority ends, the zero time if there was none.
+func (q *Quorum) Until() time.Time {
+	times := make([]time.Time, 0, len(q.seen))
+	need := Majority(len(q.seen))
+	for id, at := range q.seen {
+		if q.gone[id] {
+			need--
+			continue
+		}
+		if !at.IsZero() {
+			times = append(times, at)
+		}
+	}
+	if len(q.seen) == 0 || len(times) < max(need, 1) {
+		// At least one confirmation is always required: a holder that reaches nobody has no way to learn that
+		// it was superseded.
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[max(need, 1)-1].Add(D)
+}
+
+// Holds reports whether the pair has authority at now.
+func (q *Quorum) Holds(now time.Time) bool { return now.Before(q.Until()) }
--- /dev/null
+++ b/internal/place/lease/token.go
@@ -0,0 +1,24 @@
+package lease
+
+const (
+	termShift  = 16 // room below a log offset, as in package fold
+	epochShift = 12
+	maxEpoch   = 1<<(termShift-epochShift) - 1
+	maxSeq     = 1<<epochShift - 1
+)
+
+// Next returns the token of a move made without the log by the holder of p, for a slot whose last token was last.
+// It is higher than last and lower than that of any later record. It reports false when no such token is left.
+func Next(last uint64, p Pair) (uint64, bool) {
+	if p.Epoch > maxEpoch {
+		return 0, false
+	}
+	base := max(p.Term, last>>termShift)<<termShift | uint64(p.Epoch)<<epochShift
+	if last < base {
+		return base | 1, true
+	}
+	if last-base >= maxSeq {
+		return 0, false
+	}
+	return last + 1, true
+}
