Add control calls between instances and the folds of an instance

Cause: the daemon needs one place that follows the config and place streams and serves state and records to other instances.

--- /dev/null
+++ b/internal/peer/calls/client.go
@@ -0,0 +1,74 @@
+// Package calls carries the control messages between instances: a client that reaches any instance by the address
+// of its peer listener, and the server side with one function field for each message.
+package calls
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+const (
+	// connectTimeout is below the heartbeat interval, so that an unreachable instance costs one heartbeat.
+	connectTimeout = 250 * time.Millisecond
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 2
+)
+
+// Client calls other instances. It may be used by many goroutines.
+type Client struct {
+	http  *http.Client
+	known sync.Map // peerpb.Peer by netip.AddrPort
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+func (c *Client) at(addr netip.AddrPort) peerpb.Peer {
+	if p, ok := c.known.Load(addr); ok {
+		return p.(peerpb.Peer)
+	}
+	p, _ := c.known.LoadOrStore(addr, peerpb.NewPeerProtobufClient("http://"+addr.String(), c.http))
+	return p.(peerpb.Peer)
+}
+
+// Heartbeat sends a heartbeat to the instance at addr.
+func (c *Client) Heartbeat(ctx context.Context, addr netip.AddrPort, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	return c.at(addr).Heartbeat(ctx, req)
+}
+
+// Fence asks the instance at addr to confirm a term and epoch.
+func (c *Client) Fence(ctx context.Context, addr netip.AddrPort, req *peerpb.FenceRequest) (*peerpb.FenceReply, error) {
+	return c.at(addr).Fence(ctx, req)
+}
+
+// State fetches the folds of the instance at addr.
+func (c *Client) State(ctx context.Context, addr netip.AddrPort) (*peerpb.StateReply, error) {
+	return c.at(addr).State(ctx, &peerpb.StateRequest{})
+}
+
+// Read reads a stream through the instance at addr.
+func (c *Client) Read(ctx context.Context, addr netip.AddrPort, req *peerpb.ReadRequest) (*peerpb.ReadReply, error) {
+	return c.at(addr).Read(ctx, req)
+}
+
+// Gossip exchanges strikes with the instance at addr.
+func (c *Client) Gossip(ctx context.Context, addr netip.AddrPort, req *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
+	return c.at(addr).Gossip(ctx, req)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
