Add controller of a data centre, its driver and the member side

One instance claims the role, fences, records Ready, adopts free slots, grants them to token-checking servers and leases the lanes.

--- /dev/null
+++ b/internal/place/ctrl/claim.go
@@ -0,0 +1,451 @@
+package ctrl
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/place/homes"
+	"github.com/bramleycove/bramleycove/internal/place/lanes"
+	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+const (
+	silence   = lease.L                // after which a holder may be replaced
+	turn      = 600 * time.Millisecond // delay between candidates
+	grace     = 300 * time.Millisecond // delay of the first candidate of a data centre without a term
+	surveying = 250 * time.Millisecond // longest wait for answers before a claim
+	goneAfter = time.Minute            // after which the list's silence about a witness counts as its end
+	weakAfter = 10 * time.Second       // after which a holder without authority may be replaced
+	unlisted  = 5 * time.Second        // longest wait for the list before the first term is claimed without it
+	drifting  = 3 * time.Second        // how long the witness set may differ from what is alive
+	logFresh  = 2 * time.Second        // the log is taken for reachable when it answered this recently
+	maxNexts  = 2                      // successors of a term
+)
+
+// peer is an instance of the data centre as the list names it.
+type peer struct {
+	addr  netip.AddrPort
+	id    string // learned from its answers, "" until then
+	asked time.Time
+	done  bool // answered the survey, or confirmed the pair
+}
+
+// name returns the name part of an instance id.
+func name(id string) string {
+	n, _, _ := strings.Cut(id, "/")
+	return n
+}
+
+// serverID names a process of a backend server as a witness and as a holder of grants.
+func serverID(name string, incarnation uint64) string {
+	return fmt.Sprintf("server:%s/%x", name, incarnation)
+}
+
+// present keeps the instances of the list and when each witness was last shown.
+func (c *Core) present(now time.Time) {
+	names := make(map[string]bool)
+	for _, i := range c.list.Instances {
+		if i.DC != c.DC {
+			continue
+		}
+		names[i.Name] = true
+		p := c.peers[i.Name]
+		if p == nil {
+			p = &peer{}
+			c.peers[i.Name] = p
+		}
+		p.addr = i.Peer
+	}
+	self := name(c.ID)
+	if c.peers[self] == nil {
+		c.peers[self] = &peer{}
+	}
+	c.peers[self].addr, c.peers[self].id = c.Peer, c.ID
+	for n := range c.peers {
+		if !names[n] && n != self {
+			delete(c.peers, n)
+		}
+	}
+	c.depart(now)
+	if c.State == Fencing || c.State == Serving {
+		c.missing(now)
+	}
+}
+
+// missing counts witnesses as gone that the platform has not shown for a minute. A name under which another process
+// answers does not show the old one.
+func (c *Core) missing(now time.Time) {
+	for _, id := range append(c.fence.Missing(), c.cell.Witnesses...) {
+		if last, ok := c.shown[id]; !ok || c.shows(id) {
+			c.shown[id] = now
+		} else if now.Sub(last) >= goneAfter {
+			c.fence.Confirm(id, now)
+			c.quorum.Gone(id, true)
+			continue
+		}
+		c.quorum.Gone(id, false)
+	}
+}
+
+func (c *Core) shows(id string) bool {
+	if !c.listed {
+		return true
+	}
+	if rest, ok := strings.CutPrefix(id, "server:"); ok {
+		s := c.servers[name(rest)]
+		return s != nil && (s.incarnation == 0 || s.key() == id)
+	}
+	if id == c.ID {
+		return true
+	}
+	if name(id) == name(c.ID) {
+		return false
+	}
+	p := c.peers[name(id)]
+	return p != nil && (p.id == "" || p.id == id)
+}
+
+// candidates returns the names of the instances that may claim, in order.
+func (c *Core) candidates() []string {
+	var out, rest []string
+	for _, i := range c.list.Instances {
+		if i.DC == c.DC && !i.Leaving && (c.cell.Term == 0 || i.Name != name(c.cell.Holder)) {
+			rest = append(rest, i.Name)
+		}
+	}
+	for _, id := range c.cell.Successors {
+		if n := name(id); slices.Contains(rest, n) && !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	for _, n := range homes.Rank(c.DC, rest) {
+		if !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// due returns when this instance may claim, as far as is known now, and why.
+func (c *Core) due(now time.Time) (at time.Time, why string) {
+	order := c.candidates()
+	rank := slices.Index(order, name(c.ID))
+	if rank < 0 {
+		rank = len(order)
+	}
+	delay := time.Duration(rank) * turn
+	if c.high == (lease.Pair{}) {
+		if !c.listed {
+			delay = unlisted
+		}
+		return c.Start.Add(grace + delay), "no-term"
+	}
+	if !c.weak.IsZero() && now.Sub(c.weak) > weakAfter {
+		return c.weak.Add(weakAfter + delay), "no-authority"
+	}
+	if !c.parting.IsZero() {
+		return c.parting.Add(delay), "leaving"
+	}
+	return c.heard.Add(silence + delay), "silent"
+}
+
+// depart notes when the holder was first seen leaving, by the list or by its own word.
+func (c *Core) depart(now time.Time) {
+	left := c.holderLeft
+	for _, i := range c.list.Instances {
+		left = left || (i.DC == c.DC && i.Leaving && i.Name == name(c.cell.Holder) && c.high == lease.Pair{Term: c.cell.Term})
+	}
+	switch {
+	case !left:
+		c.parting = time.Time{}
+	case c.parting.IsZero():
+		c.parting = now
+	}
+}
+
+// candidate starts a claim when it is this instance's turn.
+func (c *Core) candidate(now time.Time) {
+	if c.leaving || c.tables == nil || now.Before(c.backoff) {
+		return
+	}
+	at, why := c.due(now)
+	if now.Before(at) {
+		return
+	}
+	c.event("candidate", "dc", c.DC, "why", why, "high", c.high)
+	c.enter(now, Survey)
+	for _, p := range c.peers {
+		p.done, p.asked = false, time.Time{}
+	}
+	for _, s := range c.servers {
+		s.step, s.asked, s.alive = probing, false, false
+	}
+	c.survey(now)
+}
+
+// survey asks every instance and server of the data centre for its id, which a Term record has to name.
+func (c *Core) survey(now time.Time) {
+	waiting := false
+	for n, p := range c.peers {
+		if n == name(c.ID) || p.done {
+			continue
+		}
+		waiting = true
+		if p.asked.IsZero() {
+			c.ask(now, n, p, &peerpb.FenceRequest{Dc: c.DC})
+		}
+	}
+	for _, s := range c.servers {
+		if !s.Checks {
+			continue
+		}
+		waiting = waiting || !s.asked || s.busy
+		if !s.asked && !s.busy {
+			c.probe(now, s)
+		}
+	}
+	if waiting && now.Sub(c.since) < surveying {
+		return
+	}
+	if at, _ := c.due(now); now.Before(at) {
+		// Another instance took the role during the survey.
+		c.enter(now, Idle)
+		return
+	}
+	c.propose(now)
+}
+
+func (c *Core) ask(now time.Time, n string, p *peer, req *peerpb.FenceRequest) {
+	p.asked = now
+	c.out = append(c.out, Action{Fence: &Fence{Name: n, Peer: p.addr, Request: req}})
+}
+
+// propose claims a new term, or the next epoch when the log is known to be unreachable.
+func (c *Core) propose(now time.Time) {
+	if !c.contact.IsZero() && now.Sub(c.contact) > logFresh {
+		c.succeed(now, "log-unreachable")
+		return
+	}
+	c.enter(now, Claiming)
+	c.term = c.append(now, c.claimRecord())
+}
+
+func (c *Core) claimRecord() *record.Record {
+	ids := []string{c.ID}
+	var next []string
+	for _, n := range homes.Rank(c.DC, keys(c.peers)) {
+		if p := c.peers[n]; p.done && p.id != "" && p.id != c.ID {
+			ids = append(ids, p.id)
+			if len(next) < maxNexts && !c.leavingPeer(n) {
+				next = append(next, p.id)
+			}
+		}
+	}
+	for _, n := range keys(c.servers) {
+		if s := c.servers[n]; s.Checks && s.incarnation != 0 && s.alive {
+			ids = append(ids, s.key())
+		}
+	}
+	return &record.Record{Kind: &record.Record_Term{Term: &record.Term{
+		Dc: c.DC, Holder: c.ID, Successors: next, Witnesses: ids, Base: c.cell.Term,
+	}}}
+}
+
+func (c *Core) leavingPeer(n string) bool {
+	for _, i := range c.list.Instances {
+		if i.Name == n {
+			return i.Leaving
+		}
+	}
+	return true
+}
+
+// claim waits until the fold shows whose term is in force.
+func (c *Core) claim(now time.Time) {
+	if c.cell.Holder == c.ID && c.cell.Term >= c.high.Term {
+		c.begin(now, lease.Pair{Term: c.cell.Term}, false)
+		return
+	}
+	done, late := c.term.over(now, c.place.Offset())
+	switch {
+	case late:
+		c.succeed(now, "log-late")
+	case done:
+		c.event("claim-lost", "holder", c.cell.Holder, "term", c.cell.Term)
+		c.enter(now, Idle)
+	}
+}
+
+// succeed takes the next epoch of the term without the log, if the term names this instance.
+func (c *Core) succeed(now time.Time, why string) {
+	epoch := uint32(slices.Index(c.cell.Successors, c.ID) + 1)
+	p := lease.Pair{Term: c.cell.Term, Epoch: epoch}
+	if epoch == 0 || p.Compare(c.high) <= 0 {
+		c.backoff = now.Add(time.Second)
+		c.enter(now, Idle)
+		return
+	}
+	c.event("succession", "pair", p, "why", why)
+	c.begin(now, p, false)
+}
+
+// begin starts to displace all earlier pairs. A holder that renews its own term under authority keeps what it knows.
+func (c *Core) begin(now time.Time, p lease.Pair, renewing bool) {
+	if !renewing {
+		peers, servers := c.peers, c.servers
+		c.Pair = p
+		c.reset()
+		c.peers, c.servers = peers, servers
+		c.table = lanes.New(p)
+		for _, s := range c.servers {
+			s.restart()
+		}
+	}
+	c.Pair, c.high, c.heard, c.weak = p, p, now, time.Time{}
+	c.table.Raise(p)
+	earlier := make([][]string, 0, len(c.cell.Earlier))
+	for _, ids := range c.cell.Earlier {
+		earlier = append(earlier, ids)
+	}
+	c.fence = lease.NewFence(c.cell.Witnesses, earlier, len(earlier) == 0 && p.Epoch == 0 && !c.cell.Ready)
+	fresh := lease.NewQuorum(c.cell.Witnesses)
+	if !renewing {
+		c.quorum = fresh
+		c.enter(now, Fencing)
+	} else {
+		c.next = fresh
+	}
+	c.renewing = renewing
+	for _, b := range c.beats {
+		b.nonce = 0
+	}
+	for _, peer := range c.peers {
+		peer.done, peer.asked = false, time.Time{}
+	}
+	for _, s := range c.servers {
+		s.confirmed = false
+	}
+	c.event("fence", "pair", p, "witnesses", len(c.cell.Witnesses), "earlier", len(earlier), "renewing", renewing)
+	c.displace(now)
+}
+
+// displace asks everybody to confirm the pair until all earlier ones are displaced.
+func (c *Core) displace(now time.Time) {
+	for _, n := range keys(c.peers) {
+		if p := c.peers[n]; !p.done && (p.asked.IsZero() || now.Sub(p.asked) >= lease.Interval) {
+			c.ask(now, n, p, c.fenceRequest())
+		}
+	}
+	c.rounds(now)
+	if !c.fence.Complete() {
+		if c.renewing && !c.quorum.Holds(now) {
+			// Without authority in between, another holder may have granted slots.
+			c.begin(now, c.Pair, false)
+		}
+		return
+	}
+	if c.renewing {
+		c.renewed(now)
+		return
+	}
+	if c.quorum.Holds(now) {
+		c.settle = c.fence.Lapsed()
+		c.doubt()
+		c.event("authority", "pair", c.Pair, "settled", c.settle.Sub(now))
+		c.enter(now, Serving)
+	}
+}
+
+func (c *Core) fenceRequest() *peerpb.FenceRequest {
+	return &peerpb.FenceRequest{
+		Dc: c.DC, Term: c.Pair.Term, Epoch: c.Pair.Epoch, Holder: c.ID, Peer: c.Peer.String(),
+	}
+}
+
+// renewed switches to the new term of a holder that had authority all along. A successor of the old term that
+// displaced it meanwhile did so at most D ago, so it has moved nothing yet; but it may have renewed what a server
+// reported to it. That matters only for servers that have not confirmed the new term and had an unexpired grant then.
+func (c *Core) renewed(now time.Time) {
+	if !c.quorum.Holds(now) {
+		c.begin(now, c.Pair, false)
+		return
+	}
+	until := now.Add(lease.Stretch(lease.D + lease.L))
+	for _, s := range c.servers {
+		if s.Checks && !s.confirmed && s.lapse.After(now.Add(-lease.D-reportAge)) {
+			c.expose.Unknown(s.Name+"/earlier", s.pool, until)
+		}
+	}
+	c.quorum, c.next, c.renewing = c.next, nil, false
+	c.event("renewed", "pair", c.Pair)
+	c.dirty = true
+}
+
+// doubt notes which servers may hold any slot by what earlier pairs granted: those that have not confirmed the pair.
+func (c *Core) doubt() {
+	known := make(map[string]bool)
+	for _, s := range c.servers {
+		known[s.Name] = true
+		if s.Checks && !s.confirmed {
+			c.expose.Unknown(s.Name+"/earlier", s.pool, c.settle)
+		}
+	}
+	for _, id := range c.fence.Missing() {
+		rest, ok := strings.CutPrefix(id, "server:")
+		if !ok {
+			continue
+		}
+		for _, p := range c.tables.Pools {
+			if s := c.servers[name(rest)]; p.Keyed && (s == nil || s.pool == p.Name) {
+				c.expose.Unknown(id, p.Name, c.settle)
+			}
+		}
+	}
+	for _, p := range c.tables.Pools {
+		for _, s := range c.place.Slots(p.Name) {
+			if s.DC == c.DC && s.Owner != "" && !known[s.Owner] {
+				known[s.Owner] = true
+				c.expose.Unknown(s.Owner+"/earlier", p.Name, c.settle)
+			}
+		}
+	}
+}
+
+// Fenced takes an instance's answer to a Fence that was sent at sent; reply is nil after an error.
+func (c *Core) Fenced(now, sent time.Time, n string, asked lease.Pair, reply *peerpb.FenceReply) {
+	p := c.peers[n]
+	if p == nil || reply == nil {
+		return
+	}
+	p.id = reply.GetInstance()
+	seen := lease.Pair{Term: reply.GetTerm(), Epoch: reply.GetEpoch()}
+	switch {
+	case asked == lease.Pair{}:
+		p.done = p.done || c.State == Survey
+		if seen.Compare(c.high) > 0 {
+			c.high = seen
+		}
+	case asked != c.Pair || !c.Controller():
+	case reply.GetAccepted():
+		p.done = true
+		c.confirm(now, sent, p.id)
+		c.table.Beat(now, p.id, p.addr.String(), c.leavingPeer(n))
+	case seen.Compare(c.Pair) > 0:
+		c.yieldTo(now, seen, "refused by "+p.id)
+	}
+}
+
+// confirm notes that a witness confirmed the pair after sent.
+func (c *Core) confirm(now, sent time.Time, id string) {
+	c.fence.Confirm(id, now)
+	if c.renewing {
+		c.next.Confirm(id, sent)
+	} else {
+		c.quorum.Confirm(id, sent)
+	}
+}
--- /dev/null
+++ b/internal/place/drive/drive.go
@@ -0,0 +1,196 @@
+// Package drive carries out what package ctrl decides: it appends, grants, fences and answers heartbeats, each
+// bounded in time, and hands the results back. The decisions are taken under one lock; no call is made under it.
+package drive
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/plat/grants"
+	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// Config is what a Driver is told once. Append, Grant and Fence may block until their context ends.
+type Config struct {
+	ctrl.Config
+	// View calls f with the fold of the place stream, which f only reads and must not keep.
+	View       func(f func(*fold.Place))
+	LogContact func() time.Time // when the log itself, not a relay, was last asked successfully
+	Append     func(ctx context.Context, rec *record.Record) (offset uint64, err error)
+	Grant      func(ctx context.Context, addr netip.AddrPort, g grants.Grant) (grants.Reply, error)
+	Fence      func(ctx context.Context, peer netip.AddrPort, req *peerpb.FenceRequest) (*peerpb.FenceReply, error)
+	Event      func(name string, fields ...any) // nil: dropped
+}
+
+// Driver runs the controller or candidate of one instance. It is safe for concurrent use.
+type Driver struct {
+	Config
+
+	mu   sync.Mutex
+	core *ctrl.Core
+	kick chan struct{}
+}
+
+const (
+	stepEvery     = 50 * time.Millisecond
+	appendTimeout = 2 * time.Second // longer than the controller waits: a late answer still tells that the log is back
+	callTimeout   = lease.Interval
+)
+
+// New returns a driver that does nothing until Run.
+func New(cfg Config) *Driver {
+	return &Driver{Config: cfg, core: ctrl.New(cfg.Config), kick: make(chan struct{}, 1)}
+}
+
+// SetTables replaces the tables. lost are the data centres that operators declare destroyed.
+func (d *Driver) SetTables(t *tables.Tables, lost []string) {
+	d.locked(func() { d.core.Tables(t, lost) })
+}
+
+// SetList replaces the platform's list.
+func (d *Driver) SetList(l roster.List) { d.locked(func() { d.core.List(l) }) }
+
+// Leave makes the instance give the role to another one.
+func (d *Driver) Leave() { d.locked(d.core.Leave) }
+
+// Heard notes a sign of life of the holder of pair.
+func (d *Driver) Heard(now time.Time, p lease.Pair, authority, leaving bool) {
+	d.locked(func() { d.core.Heard(now, p, authority, leaving) })
+}
+
+// Strike adds strikes learned elsewhere; Strikes returns those of the last minute.
+func (d *Driver) Strike(now time.Time, list []*peerpb.Strike) {
+	d.locked(func() { d.core.Strike(now, "", list) })
+}
+
+// Strikes returns the strikes of the last minute, for other data centres.
+func (d *Driver) Strikes(now time.Time) []*peerpb.Strike {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Strikes(now)
+}
+
+// Controller reports whether this instance is the controller of its data centre or about to be.
+func (d *Driver) Controller() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Controller()
+}
+
+// Status returns what operators see.
+func (d *Driver) Status() ctrl.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Status
+}
+
+// Heartbeat answers an instance.
+func (d *Driver) Heartbeat(now time.Time, req *peerpb.HeartbeatRequest) *peerpb.HeartbeatReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rep := d.core.Heartbeat(now, req)
+	if len(req.GetReleases()) > 0 {
+		d.Kick()
+	}
+	return rep
+}
+
+// Kick makes the next step due at once, for example when the fold has moved.
+func (d *Driver) Kick() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Driver) locked(f func()) {
+	d.mu.Lock()
+	f()
+	d.mu.Unlock()
+	d.Kick()
+}
+
+// Run steps the controller until ctx ends, then waits for its calls.
+func (d *Driver) Run(ctx context.Context) {
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		for _, a := range d.step() {
+			d.perform(ctx, &calls, a)
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-d.kick:
+		}
+	}
+}
+
+func (d *Driver) step() []ctrl.Action {
+	contact := time.Time{}
+	if d.LogContact != nil {
+		contact = d.LogContact()
+	}
+	var out []ctrl.Action
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.View(func(p *fold.Place) { out = d.core.Step(time.Now(), p, contact) })
+	return out
+}
+
+func (d *Driver) perform(ctx context.Context, calls *conc.WaitGroup, a ctrl.Action) {
+	switch {
+	case a.Event != nil:
+		if d.Event != nil {
+			d.Event(a.Event.Name, a.Event.Fields...)
+		}
+	case a.Append != nil:
+		calls.Go(func() { d.append(ctx, a.Append) })
+	case a.Grant != nil:
+		calls.Go(func() { d.grant(ctx, a.Grant) })
+	case a.Fence != nil:
+		calls.Go(func() { d.fence(ctx, a.Fence) })
+	}
+}
+
+func (d *Driver) append(ctx context.Context, a *ctrl.Append) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	offset, err := d.Append(ctx, a.Record)
+	var status *logsvc.ErrStatus
+	failed := errors.As(err, &status)
+	d.locked(func() { d.core.Appended(a.Tag, offset, failed) })
+}
+
+func (d *Driver) grant(ctx context.Context, g *ctrl.Grant) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := d.Grant(ctx, g.Addr, g.Grant)
+	d.locked(func() { d.core.Answered(time.Now(), g.Server, g.ID, reply, err) })
+}
+
+func (d *Driver) fence(ctx context.Context, f *ctrl.Fence) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := d.Fence(ctx, f.Peer, f.Request)
+	if err != nil {
+		return
+	}
+	asked := lease.Pair{Term: f.Request.GetTerm(), Epoch: f.Request.GetEpoch()}
+	d.locked(func() { d.core.Fenced(time.Now(), sent, f.Name, asked, reply) })
+}
--- /dev/null
+++ b/internal/place/homes/homes.go
@@ -0,0 +1,150 @@
+// Package homes decides in which data centre each slot belongs and which servers take slots without a live owner.
+// It reads no clock and every instance that knows the same tables reaches the same homes.
+package homes
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+// Weight is the number of servers that a data centre has in a pool.
+type Weight struct {
+	DC      string
+	Servers int
+}
+
+// Weights returns the data centres of a pool, sorted. Those whose servers are all leaving and those in lost have no
+// weight and are left out.
+func Weights(p *tables.Pool, lost []string) []Weight {
+	count := make(map[string]int)
+	staying := make(map[string]bool)
+	for i := range p.Servers {
+		s := &p.Servers[i]
+		count[s.DC]++
+		if !s.Leaving {
+			staying[s.DC] = true
+		}
+	}
+	var out []Weight
+	for dc, n := range count {
+		if staying[dc] && !slices.Contains(lost, dc) {
+			out = append(out, Weight{DC: dc, Servers: n})
+		}
+	}
+	slices.SortFunc(out, func(a, b Weight) int { return strings.Compare(a.DC, b.DC) })
+	return out
+}
+
+// Home returns the data centre in which a slot belongs, by weighted rendezvous hashing: a change of one weight moves
+// only slots from or to its data centre. It is empty without weights.
+func Home(pool string, slot uint32, weights []Weight) string {
+	best, home := math.Inf(-1), ""
+	for _, w := range weights {
+		if score := -float64(w.Servers) / math.Log(uniform(pool, slot, w.DC)); score > best {
+			best, home = score, w.DC
+		}
+	}
+	return home
+}
+
+// uniform returns a number between 0 and 1, both exclusive.
+func uniform(pool string, slot uint32, dc string) float64 {
+	var b [4]byte
+	for i := range b {
+		b[i] = byte(slot >> (8 * i))
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(pool)
+	_, _ = h.Write(b[:])
+	_, _ = h.WriteString(dc)
+	return (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
+}
+
+// Rank orders names for a task by rendezvous hashing.
+func Rank(task string, names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		ha, hb := xxhash.Sum64String(task+"\x00"+a), xxhash.Sum64String(task+"\x00"+b)
+		switch {
+		case ha > hb:
+			return -1
+		case ha < hb:
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return out
+}
+
+// Server is a candidate owner of slots.
+type Server struct {
+	Name     string
+	Capacity float64
+	Up       bool
+	Leaving  bool
+}
+
+// Slot is an assignment as the balancer sees it.
+type Slot struct {
+	Owner string
+	Load  float64 // requests per second
+}
+
+// Move gives the slot at this index to a server.
+type Move struct {
+	Slot uint32
+	To   string
+}
+
+// Spread gives every slot whose owner is not up a server that is up and stays, such that the number of slots for
+// each unit of capacity is even. It moves no other slot.
+func Spread(servers []Server, slots []Slot) []Move {
+	count := make(map[string]int)
+	up := make(map[string]bool)
+	for _, s := range servers {
+		up[s.Name] = s.Up
+	}
+	for _, s := range slots {
+		count[s.Owner]++
+	}
+	var idle []uint32
+	quota := make(map[string]int)
+	for i, s := range slots {
+		if s.Owner != "" && up[s.Owner] {
+			continue
+		}
+		if to := emptiest(servers, count); to != "" {
+			count[to]++
+			quota[to]++
+			idle = append(idle, uint32(i))
+		}
+	}
+	// Neighbouring slots go to one server, since grants and lanes name ranges.
+	var out []Move
+	for _, s := range servers {
+		n := quota[s.Name]
+		for _, i := range idle[:n] {
+			out = append(out, Move{Slot: i, To: s.Name})
+		}
+		idle = idle[n:]
+	}
+	return out
+}
+
+func emptiest(servers []Server, count map[string]int) string {
+	best, name := math.Inf(1), ""
+	for _, s := range servers {
+		if !s.Up || s.Leaving {
+			continue
+		}
+		if fill := float64(count[s.Name]+1) / max(s.Capacity, 1); fill < best {
+			best, name = fill, s.Name
+		}
+	}
+	return name
+}
