--- /dev/null
+++ b/internal/oper/meter/meter.go
@@ -0,0 +1,138 @@
+// Package meter measures the work of an instance, for each tenant and rank, and writes it as Prometheus text.
+package meter
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+	"github.com/uber-go/tally/v4"
+	reporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+)
+
+const (
+	// interval is how far Text may lag behind.
+	interval = time.Second
+	// maxSeries bounds memory if tables with ever new tenants are published. A series takes about 10 KB.
+	maxSeries = 500
+	other     = "other"
+)
+
+// buckets are the upper bounds of the histograms. They include the targets of the example tables.
+var buckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 8 * time.Millisecond, 12 * time.Millisecond,
+	20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// sanitize permits names of tenants and ranks unchanged, so that two of them cannot fall together.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters:       tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters},
+	KeyCharacters:        tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters},
+	ValueCharacters:      tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreDashDotCharacters},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
+// Meter holds all measurements of an instance. It may be used by many goroutines.
+type Meter struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prometheus.Registry
+
+	mu     sync.RWMutex
+	series map[label]*Series
+}
+
+type label struct{ tenant, rank string }
+
+// Series measures the requests of one tenant and rank.
+type Series struct {
+	latency, wait tally.Histogram
+	verdicts      [verdicts]tally.Counter
+}
+
+const verdicts = int(result.Ran) + 1
+
+// New returns a meter. Close ends its goroutine.
+func New() *Meter {
+	registry := prometheus.NewRegistry()
+	// A metric that cannot be registered is left out; it must not end the daemon.
+	rep := reporter.NewReporter(reporter.Options{Registerer: registry, OnRegisterError: func(error) {}})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "bramleycove", CachedReporter: rep, Separator: reporter.DefaultSeparator, OmitCardinalityMetrics: true,
+		SanitizeOptions: &sanitize,
+	}, interval)
+	return &Meter{scope: scope, closer: closer, registry: registry, series: make(map[label]*Series)}
+}
+
+// Series returns the series of a tenant and rank. Callers may keep it.
+func (m *Meter) Series(tenant, rank string) *Series {
+	l := label{tenant, rank}
+	m.mu.RLock()
+	s := m.series[l]
+	m.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.series) >= maxSeries {
+		l = label{other, other}
+	}
+	if m.series[l] == nil {
+		m.series[l] = m.open(l)
+	}
+	return m.series[l]
+}
+
+func (m *Meter) open(l label) *Series {
+	scope := m.scope.Tagged(map[string]string{"tenant": l.tenant, "rank": l.rank})
+	s := &Series{latency: scope.Histogram("latency_seconds", buckets), wait: scope.Histogram("wait_seconds", buckets)}
+	for v := range s.verdicts {
+		tagged := scope.Tagged(map[string]string{"verdict": result.Verdict(v).String()})
+		s.verdicts[v] = tagged.Counter("requests_total")
+	}
+	return s
+}
+
+// Answered records the whole time that a request took and its verdict.
+func (s *Series) Answered(took time.Duration, v result.Verdict) {
+	s.latency.RecordDuration(took)
+	if int(v) < len(s.verdicts) {
+		s.verdicts[v].Inc(1)
+	}
+}
+
+// Waited records the time that a request spent in a dispatcher's queue.
+func (s *Series) Waited(d time.Duration) { s.wait.RecordDuration(d) }
+
+// Counter returns the counter of that name, without prefix, for measurements of other kinds.
+func (m *Meter) Counter(name string, tags map[string]string) tally.Counter {
+	return m.scope.Tagged(tags).Counter(name)
+}
+
+// Gauge returns the gauge of that name, without prefix.
+func (m *Meter) Gauge(name string, tags map[string]string) tally.Gauge {
+	return m.scope.Tagged(tags).Gauge(name)
+}
+
+// Text returns all measurements in the Prometheus text format, up to a second old.
+func (m *Meter) Text() ([]byte, error) {
+	families, err := m.registry.Gather()
+	var out bytes.Buffer
+	for _, f := range families {
+		if _, failed := expfmt.MetricFamilyToText(&out, f); failed != nil {
+			err = errors.Join(err, failed)
+		}
+	}
+	return out.Bytes(), err
+}
+
+// Close reports what was measured and ends the meter's goroutine.
+func (m *Meter) Close() error { return m.closer.Close() }
