--- a/internal/oper/cmds/cmds_test.go
+++ b/internal/oper/cmds/cmds_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +152,32 @@
 		t.Error(err, out)
 	}
 }
+
+// TestReference guards against fields and flags that are not documented.
+func TestReference(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/reference.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{}
+	for _, pattern := range []string{examples + "*/*.jsonc", "testdata/help*.golden"} {
+		paths, _ := filepath.Glob(pattern)
+		for _, path := range paths {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range regexp.MustCompile(`"(\w+)":|(--[a-z]+)`).FindAllStringSubmatch(string(data), -1) {
+				names[m[1]+m[2]] = true
+			}
+		}
+	}
+	if len(names) < 40 {
+		t.Errorf("only %d names found", len(names))
+	}
+	for name := range names {
+		if name != "--help" && !regexp.MustCompile("[`{\" \\[]"+name+`\b`).Match(page) {
+			t.Errorf("%s is not in the reference", name)
+		}
+	}
+}
