Wire the daemon of an instance

Cause: the parts exist but nothing serves a request. Change: oper/daemon builds and runs all parts; serve starts it; the peer listener carries hops, control calls and the operator interface.

--- a/cmd/bramleycove/main.go
+++ b/cmd/bramleycove/main.go
@@ -3,25 +3,22 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/bramleycove/bramleycove/internal/oper/cmds"
-	"github.com/bramleycove/bramleycove/internal/oper/config"
+	"github.com/bramleycove/bramleycove/internal/oper/daemon"
 )
 
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := cmds.New(os.Stdout, os.Stderr, version(), serve).Run(ctx, os.Args[1:])
+	code := cmds.New(os.Stdout, os.Stderr, version(), daemon.Run).Run(ctx, os.Args[1:])
 	cancel()
 	os.Exit(code)
 }
 
-func serve(context.Context, *config.Config) error { return errors.New("serve is not wired up yet") }
-
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
 		return info.Main.Version
--- /dev/null
+++ b/internal/oper/daemon/daemon.go
@@ -0,0 +1,281 @@
+// Package daemon wires the parts of one instance together and runs them.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleycove/bramleycove/internal/edge/front"
+	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/oper/admin"
+	"github.com/bramleycove/bramleycove/internal/oper/config"
+	"github.com/bramleycove/bramleycove/internal/oper/events"
+	"github.com/bramleycove/bramleycove/internal/oper/meter"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/peer/calls"
+	"github.com/bramleycove/bramleycove/internal/peer/folds"
+	"github.com/bramleycove/bramleycove/internal/peer/member"
+	"github.com/bramleycove/bramleycove/internal/peer/pass"
+	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/drive"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/view"
+	"github.com/bramleycove/bramleycove/internal/plat/grants"
+	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// daemon is one running instance.
+type daemon struct {
+	cfg  *config.Config
+	id   string // name/incarnation
+	peer netip.AddrPort
+	log  *events.Logger
+
+	logs   *logsvc.Client
+	roster *roster.Client
+	calls  *calls.Client
+	meter  *meter.Meter
+
+	folds  *folds.Folds
+	view   *view.View
+	drive  *drive.Driver
+	member *member.Member
+	stage  *lanes.Stage
+	passer *pass.Passer
+	front  *front.Front
+	admin  *admin.Server
+
+	listed  atomic.Pointer[roster.List]
+	leaving atomic.Bool
+
+	mu     sync.Mutex
+	remote map[string]time.Time // when an instance of a data centre last answered
+}
+
+// Run runs an instance until ctx ends and the graceful stop after it is complete.
+func Run(ctx context.Context, cfg *config.Config) error {
+	l, err := listen(cfg)
+	if err != nil {
+		return err
+	}
+	d := build(cfg, l)
+	d.log.Info("listening", "instance", d.id, "dc", cfg.DC, "caller", l.caller.Addr(), "peer", l.peer.Addr(), "admin", l.admin.Addr())
+
+	// The parts keep running while ctx has ended and requests are being finished.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var background, servers conc.WaitGroup
+	for _, run := range []func(context.Context){d.folds.Run, d.drive.Run, d.member.Run, d.fetchList, d.gossip} {
+		background.Go(func() { run(parts) })
+	}
+	peers := d.passer.Server(d.peerHandler())
+	failed := make(chan error, 3)
+	for _, serve := range []func() error{
+		func() error { return d.front.Serve(l.caller) },
+		func() error { return peers.Serve(l.peer) },
+		func() error { return d.admin.Serve(l.admin) },
+	} {
+		servers.Go(func() { failed <- serve() })
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	d.shutdown(peers)
+	stop()
+	background.Wait()
+	servers.Wait()
+	d.log.Info("stopped")
+	return errors.CombineErrors(err, d.meter.Close())
+}
+
+// listeners are opened before anything else, so that a start with a wrong address fails at once.
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+func listen(cfg *config.Config) (l listeners, err error) {
+	for _, x := range []struct {
+		to   *net.Listener
+		name string
+		addr netip.AddrPort
+	}{{&l.caller, "caller", cfg.Caller}, {&l.peer, "peer", cfg.Peer}, {&l.admin, "admin", cfg.Admin}} {
+		if *x.to, err = net.Listen("tcp", x.addr.String()); err != nil {
+			return l, errors.Wrapf(err, "listen for %s", x.name)
+		}
+	}
+	return l, nil
+}
+
+// incarnation makes the id of this process differ from that of any other with the same name.
+func incarnation() string {
+	var b [4]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+func build(cfg *config.Config, l listeners) *daemon {
+	d := &daemon{
+		cfg: cfg, id: cfg.Instance + "/" + incarnation(), peer: cfg.Advertise,
+		log:  events.New(os.Stderr, time.Now, cfg.Debug),
+		logs: logsvc.New(cfg.Log), roster: roster.New(cfg.List), calls: calls.NewClient(), meter: meter.New(),
+		remote: make(map[string]time.Time),
+	}
+	if !d.peer.IsValid() {
+		d.peer = l.peer.Addr().(*net.TCPAddr).AddrPort()
+	}
+	d.listed.Store(new(roster.List))
+	d.view = view.New(cfg.DC, d.peer)
+	d.folds = folds.New(d.foldSeams())
+	d.drive = drive.New(d.driveConfig())
+	d.stage = lanes.New(lanes.Config{Ranks: d.ranks, Servers: d.view.Servers, Seed: seed(d.id)})
+	d.passer = pass.New(d.view, d.stage.Do)
+	d.member = member.New(d.memberConfig())
+	d.front = front.New(d.frontConfig())
+	d.admin = admin.New(admin.Sources{Status: d.status, Explain: d.explain, Metrics: d.meter.Text})
+	return d
+}
+
+func (d *daemon) foldSeams() folds.Seams {
+	log := d.log.For("plat")
+	return folds.Seams{
+		Read: d.logs.Read, Append: d.logs.Append,
+		Peers: d.statePeers, Relays: d.relays,
+		Yields: d.yields,
+		Writes: func() bool { return d.drive.Controller() },
+		DC:     d.cfg.DC, Seed: seed(d.id),
+		Tables: d.setTables, Placed: d.placed,
+		Event: log.Info,
+	}
+}
+
+func (d *daemon) driveConfig() drive.Config {
+	client := grants.New()
+	return drive.Config{
+		Config: ctrl.Config{
+			ID: d.id, DC: d.cfg.DC, Peer: d.peer, Start: time.Now(),
+			Remote: d.remoteSeen, Balance: newBalance(),
+		},
+		View: d.folds.View, LogContact: d.folds.Contact,
+		Append: func(ctx context.Context, rec *record.Record) (uint64, error) {
+			data, err := proto.Marshal(rec)
+			if err != nil {
+				return 0, err
+			}
+			return d.logs.Append(ctx, folds.PlaceStream, data)
+		},
+		Grant: client.Grant, Fence: d.calls.Fence,
+		Event: d.log.For("place").Info,
+	}
+}
+
+func (d *daemon) memberConfig() member.Config {
+	return member.Config{
+		ID: d.id, DC: d.cfg.DC, Peer: d.peer,
+		Cell:    func() fold.Cell { return d.folds.Cell(d.cfg.DC) },
+		List:    func() roster.List { return *d.listed.Load() },
+		Leaving: d.leaving.Load,
+		Send:    d.calls.Heartbeat, Serve: d.drive.Heartbeat, Heard: d.drive.Heard,
+		Update: d.stage.Update, Released: d.stage.Released, Reports: d.stage.Reports,
+		Roster: d.view.SetCell,
+	}
+}
+
+func (d *daemon) frontConfig() front.Config {
+	limits := d.cfg.Limits
+	return front.Config{
+		DC: d.cfg.DC, Instance: d.id, Tables: d.view.Tables, Send: d.passer.Send, Observe: d.observe,
+		MaxBody: limits.Body, MaxHeader: limits.Header, MaxConns: limits.Connections,
+		ReadTime: limits.Read, IdleTime: limits.Idle,
+	}
+}
+
+func (d *daemon) ranks() []tables.Rank {
+	if t := d.view.Tables(); t != nil {
+		return t.Ranks
+	}
+	return nil
+}
+
+// setTables puts a version of the tables in force.
+func (d *daemon) setTables(version uint64, t *tables.Tables) {
+	d.view.SetTables(t)
+	d.drive.SetTables(t, t.Lost)
+	d.placed()
+	d.log.Info("tables-in-force", "version", version, "routes", len(t.Routes), "pools", len(t.Pools))
+}
+
+// placed takes over a change of the place fold.
+func (d *daemon) placed() {
+	if t := d.view.Tables(); t != nil {
+		d.folds.View(func(p *fold.Place) {
+			for i := range t.Pools {
+				if t.Pools[i].Keyed {
+					d.view.SetSlots(t.Pools[i].Name, p.Slots(t.Pools[i].Name))
+				}
+			}
+		})
+	}
+	d.drive.Kick()
+}
+
+// yields reports whether this instance must know how recently the log itself was reached.
+func (d *daemon) yields() bool {
+	t := d.view.Tables()
+	if t == nil || !d.drive.Controller() {
+		return false
+	}
+	for i := range t.Pools {
+		if t.Pools[i].Yield > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// handoverTimeout bounds the wait for other instances to take the lanes over.
+	handoverTimeout = 10 * time.Second
+	finishTimeout   = 60 * time.Second
+	handoverPoll    = 20 * time.Millisecond
+)
+
+// shutdown stops the instance such that no request is cut off: its lanes are handed over while callers are still
+// accepted, and the parts that other instances need stop last.
+func (d *daemon) shutdown(peers *fasthttp.Server) {
+	d.log.Info("stopping", "linger", d.cfg.Linger)
+	d.leaving.Store(true)
+	d.drive.Leave()
+	d.member.Kick()
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	if err := d.front.Stop(ctx, d.cfg.Linger); err != nil {
+		d.log.Error("callers-cut-off", "error", err)
+	}
+	for end := time.Now().Add(handoverTimeout); len(d.stage.Lanes()) > 0 && time.Now().Before(end); {
+		time.Sleep(handoverPoll)
+	}
+	if err := peers.ShutdownWithContext(ctx); err != nil {
+		d.log.Error("peers-cut-off", "error", err)
+	}
+	if err := d.admin.Shutdown(ctx); err != nil {
+		d.log.Warn("operators-cut-off", "error", err)
+	}
+	d.passer.Close()
+	d.stage.Close()
+	d.calls.Close()
+}
--- /dev/null
+++ b/internal/oper/daemon/peers.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/peer/calls"
+	"github.com/bramleycove/bramleycove/internal/peer/folds"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+const (
+	listEvery   = time.Second
+	gossipEvery = time.Second
+	// stateAsked bounds the instances that a starting one asks for their state.
+	stateAsked = 8
+)
+
+func seed(id string) uint64 { return xxhash.Sum64String(id) }
+
+// peerHandler serves what other instances and, on the same port, operators ask.
+func (d *daemon) peerHandler() fasthttp.RequestHandler {
+	handlers := &calls.Handlers{
+		OnHeartbeat: d.member.Heartbeat,
+		OnFence:     d.member.Fence,
+		OnState:     func(context.Context) (*peerpb.StateReply, error) { return d.folds.State(d.id) },
+		OnRead:      d.folds.Relay,
+		OnGossip:    d.onGossip,
+	}
+	control, operators := handlers.Handler(), d.admin.Handler()
+	return func(ctx *fasthttp.RequestCtx) {
+		if strings.HasPrefix(string(ctx.Path()), "/twirp/") {
+			control(ctx)
+			return
+		}
+		operators(ctx)
+	}
+}
+
+// fetchList keeps the platform's list. While the list service is down the last list stays.
+func (d *daemon) fetchList(ctx context.Context) {
+	tick := time.NewTicker(listEvery)
+	defer tick.Stop()
+	for failing := false; ; {
+		l, err := d.roster.Fetch(ctx)
+		if err == nil {
+			d.listed.Store(&l)
+			d.view.SetList(l)
+			d.drive.SetList(l)
+		} else if !failing {
+			d.log.Warn("list-unreachable", "error", err)
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// others returns the live instances but this one.
+func (d *daemon) others() []roster.Instance {
+	var out []roster.Instance
+	for _, i := range d.listed.Load().Instances {
+		if i.Name != d.cfg.Instance && !i.Leaving {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (d *daemon) folder(name string, addr netip.AddrPort) folds.Peer {
+	return folds.Peer{
+		Name:  name,
+		State: func(ctx context.Context) (*peerpb.StateReply, error) { return d.calls.State(ctx, addr) },
+		Read: func(ctx context.Context, req *peerpb.ReadRequest) (*peerpb.ReadReply, error) {
+			return d.calls.Read(ctx, addr, req)
+		},
+	}
+}
+
+// statePeers returns instances to start from: those of the own data centre first, then others, then the seeds.
+func (d *daemon) statePeers() []folds.Peer {
+	list := d.others()
+	slices.SortStableFunc(list, func(a, b roster.Instance) int { return d.distance(a) - d.distance(b) })
+	var out []folds.Peer
+	for _, i := range list[:min(len(list), stateAsked)] {
+		out = append(out, d.folder(i.Name, i.Peer))
+	}
+	for _, addr := range d.cfg.Seeds {
+		if addr != d.peer {
+			out = append(out, d.folder(addr.String(), addr))
+		}
+	}
+	return out
+}
+
+// distance is 0 within the data centre, 1 within the region, 2 beyond.
+func (d *daemon) distance(i roster.Instance) int {
+	switch {
+	case i.DC == d.cfg.DC:
+		return 0
+	case i.Region == d.cfg.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// relays returns the instances to read the log through: the relay of the data centre, and that of the region. The
+// relay of the region reads the log itself, so control traffic crosses a region's link once.
+func (d *daemon) relays() []folds.Peer {
+	var out []folds.Peer
+	for within := range 2 {
+		first, at := d.first(within)
+		if first == d.cfg.Instance {
+			// Whoever is the relay of a level reads from the next one, and the region's relay from the log.
+			continue
+		}
+		if within == 0 || d.relayOf(0) {
+			out = append(out, d.folder(first, at))
+		}
+	}
+	if name, _ := d.first(1); name == d.cfg.Instance {
+		return nil
+	}
+	return out
+}
+
+// relayOf reports whether this instance is the relay of its data centre (0) or region (1).
+func (d *daemon) relayOf(within int) bool {
+	name, _ := d.first(within)
+	return name == d.cfg.Instance
+}
+
+// first returns the instance that rendezvous hashing selects as relay within a distance, this one included.
+func (d *daemon) first(within int) (string, netip.AddrPort) {
+	level := [...]string{d.cfg.DC, d.cfg.Region}[within]
+	name, at, best := d.cfg.Instance, d.peer, xxhash.Sum64String(level+"\x00"+d.cfg.Instance)
+	for _, i := range d.others() {
+		if d.distance(i) > within {
+			continue
+		}
+		if h := xxhash.Sum64String(level + "\x00" + i.Name); h > best {
+			name, at, best = i.Name, i.Peer, h
+		}
+	}
+	return name, at
+}
+
+// gossip exchanges strikes with one instance of each other data centre, if this instance is the controller, and
+// notes which data centres answer.
+func (d *daemon) gossip(ctx context.Context) {
+	tick := time.NewTicker(gossipEvery)
+	defer tick.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !d.drive.Controller() {
+			continue
+		}
+		dcs := make(map[string][]roster.Instance)
+		for _, i := range d.others() {
+			if i.DC != d.cfg.DC {
+				dcs[i.DC] = append(dcs[i.DC], i)
+			}
+		}
+		for dc, instances := range dcs {
+			d.exchange(ctx, dc, instances[round%len(instances)].Peer)
+		}
+	}
+}
+
+func (d *daemon) exchange(ctx context.Context, dc string, addr netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, gossipEvery/2)
+	defer cancel()
+	now := time.Now()
+	reply, err := d.calls.Gossip(ctx, addr, &peerpb.GossipRequest{Instance: d.id, Dc: d.cfg.DC, Strikes: d.drive.Strikes(now)})
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	d.remote[dc] = now
+	d.mu.Unlock()
+	d.drive.Strike(now, reply.GetStrikes())
+}
+
+func (d *daemon) onGossip(_ context.Context, req *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
+	now := time.Now()
+	d.drive.Strike(now, req.GetStrikes())
+	return &peerpb.GossipReply{Strikes: d.drive.Strikes(now)}, nil
+}
+
+// remoteSeen returns when an instance of the data centre last answered, zero if never.
+func (d *daemon) remoteSeen(dc string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.remote[dc]
+}
--- /dev/null
+++ b/internal/oper/daemon/report.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/edge/front"
+	"github.com/bramleycove/bramleycove/internal/edge/route"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/oper/opapi"
+	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/homes"
+	"github.com/bramleycove/bramleycove/internal/place/plan"
+)
+
+// observe measures and logs a finished request.
+func (d *daemon) observe(o front.Outcome) {
+	verdict := result.Ran
+	if o.Err != nil {
+		verdict = o.Err.Verdict
+	}
+	tenant, rank := "", ""
+	if o.Request != nil {
+		tenant, rank = o.Request.Tenant, o.Request.Rank
+	}
+	d.meter.Series(tenant, rank).Answered(o.Took, verdict)
+	log := d.log.For("edge")
+	if o.Err != nil && o.Request != nil {
+		log.Info("refused", "request", o.Request.ID, "route", o.Request.Route, "reason", o.Err.Reason, "verdict", verdict,
+			"status", o.Status, "took", o.Took)
+		return
+	}
+	if log.Debugging() && o.Request != nil {
+		log.Debug("answered", "request", o.Request.ID, "route", o.Request.Route, "status", o.Status, "took", o.Took)
+	}
+}
+
+func (d *daemon) status() opapi.Status {
+	version, placed := d.folds.Version()
+	s := d.drive.Status()
+	out := opapi.Status{
+		Instance: d.id, DC: d.cfg.DC, Region: d.cfg.Region, Config: version, Place: placed,
+		Controller: s.State == ctrl.Serving,
+		Ready: version != 0 && d.folds.Caught() && !d.leaving.Load(), Leaving: d.leaving.Load(),
+	}
+	high := d.member.High()
+	out.Term, out.Epoch = high.Term, high.Epoch
+	for _, name := range d.stage.Lanes() {
+		out.Lanes = append(out.Lanes, opapi.Lane{Name: name})
+	}
+	return out
+}
+
+// explain says where a request would go.
+func (d *daemon) explain(method, path, key string) opapi.Explanation {
+	t := d.view.Tables()
+	if t == nil {
+		return opapi.Explanation{Reason: front.ReasonTables}
+	}
+	r := route.Find(t, method, path)
+	if r == nil {
+		return opapi.Explanation{Reason: route.ReasonRoute}
+	}
+	out := opapi.Explanation{Route: r.Name, Rank: r.Rank, Tenant: r.Tenant, Pool: r.Pool, Key: key}
+	target, err := d.view.Locate(r.Pool, key)
+	if err != nil {
+		out.Reason = result.From(err).Reason
+		return out
+	}
+	out.Slot, out.Home, out.Owner, out.Token, out.Lane = target.Slot, target.DC, target.Server, target.Token, target.Lane
+	out.Dispatcher = target.Dispatcher.String()
+	d.folds.View(func(p *fold.Place) {
+		if slots := p.Slots(r.Pool); target.Keyed && int(target.Slot) < len(slots) {
+			out.Home = slots[target.Slot].DC
+		}
+	})
+	return out
+}
+
+// newBalance returns the controller's seam to the planner, which keeps a state for each pool.
+func newBalance() func(string, time.Time, []homes.Server, []homes.Slot) []homes.Move {
+	var mu sync.Mutex
+	planners := make(map[string]*plan.Planner)
+	return func(pool string, now time.Time, servers []homes.Server, slots []homes.Slot) []homes.Move {
+		mu.Lock()
+		defer mu.Unlock()
+		p := planners[pool]
+		if p == nil {
+			p = new(plan.Planner)
+			planners[pool] = p
+		}
+		in := make([]plan.Server, len(servers))
+		for i, s := range servers {
+			in[i] = plan.Server(s)
+		}
+		at := make([]plan.Slot, len(slots))
+		for i, s := range slots {
+			at[i] = plan.Slot(s)
+		}
+		var out []homes.Move
+		for _, m := range p.Decide(now, in, at) {
+			out = append(out, homes.Move(m))
+		}
+		return out
+	}
+}
