Let a renewed term wait for live servers to confirm it

Cause: after a server loss the controller renewed its term for the changed witness set. Instances alone completed the fence within 1 ms, live servers that had not confirmed yet counted as unknown holders, and the pool was unserved for D + L. Change: a renewal waits, while the old quorum holds, until every server with an unexpired grant has confirmed.

--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -350,7 +350,9 @@
 		return
 	}
 	if c.renewing {
-		c.renewed(now)
+		if !c.awaitServers(now) {
+			c.renewed(now)
+		}
 		return
 	}
 	if c.quorum.Holds(now) {
@@ -367,6 +369,20 @@
 	}
 }
 
+// awaitServers reports whether a renewal should wait for live servers to confirm the new term. Instances alone often
+// complete the fence first; every server that has not confirmed by then leaves its pool unserved for D + L.
+func (c *Core) awaitServers(now time.Time) bool {
+	if c.quorum.Until().Sub(now) < lease.Interval {
+		return false
+	}
+	for _, s := range c.servers {
+		if s.Checks && !s.confirmed && s.lapse.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewed switches to the new term of a holder that had authority all along. A successor of the old term that
 // displaced it meanwhile did so at most D ago, so it has moved nothing yet; but it may have renewed what a server
 // reported to it. That matters only for servers that have not confirmed the new term and had an unexpired grant then.
