Add harness for integration tests with processes

Integration tests need the platform, the servers and the instances as processes, with a fault proxy between any two. The harness builds both programs once, keeps addresses over restarts, journals what callers receive and hands all journals to the judge.

--- /dev/null
+++ b/internal/stand/proc/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package proc
+
+const race = false
--- /dev/null
+++ b/internal/stand/proc/process.go
@@ -0,0 +1,166 @@
+// Package proc builds and runs the processes of integration tests.
+package proc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one stand-in or instance. It may be started again after its end.
+type Process struct {
+	Name string
+	Path string // of the program
+	Args []string
+	Log  string // path of the file that receives all output, of all lives
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd     // nil before the first start
+	ended  chan struct{} // closed when the process has ended
+	fields map[string]string
+}
+
+// StartTime bounds the time from the start of a process to its listening line. It is generous, because a machine
+// that builds and tests at once starts processes slowly.
+const StartTime = 30 * time.Second
+
+// Start runs the process and waits until it has printed its listening line.
+func (p *Process) Start() error {
+	out, err := os.OpenFile(p.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	watch := &watcher{file: out, found: make(chan map[string]string, 1)}
+	cmd := exec.Command(p.Path, p.Args...)
+	cmd.Stdout, cmd.Stderr = watch, watch
+	// The kernel ends the process if the test process dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Join(err, out.Close())
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(ended)
+	}()
+	p.mu.Lock()
+	p.cmd, p.ended, p.fields = cmd, ended, nil
+	p.mu.Unlock()
+	return p.awaitListening(watch)
+}
+
+func (p *Process) awaitListening(watch *watcher) error {
+	select {
+	case fields := <-watch.found:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.fields = fields
+		return nil
+	case <-p.ended:
+		return fmt.Errorf("%s ended before it listened (%s):\n%s", p.Name, p.cmd.ProcessState, p.Tail())
+	case <-time.After(StartTime):
+		return fmt.Errorf("%s did not listen within %v:\n%s", p.Name, StartTime, p.Tail())
+	}
+}
+
+// Address returns a field of the listening line.
+func (p *Process) Address(field string) (netip.AddrPort, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addr, err := netip.ParseAddrPort(p.fields[field])
+	if err != nil {
+		return addr, fmt.Errorf("%s printed %s=%q: %w", p.Name, field, p.fields[field], err)
+	}
+	return addr, nil
+}
+
+// Running tells whether the process was started and has not ended.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal. It fails if the process does not run.
+func (p *Process) Signal(sig syscall.Signal) error {
+	if !p.Running() {
+		return fmt.Errorf("%s does not run", p.Name)
+	}
+	return p.cmd.Process.Signal(sig)
+}
+
+// Wait waits for the end of the process and returns its exit code, -1 if a signal ended it.
+func (p *Process) Wait(within time.Duration) (int, error) {
+	select {
+	case <-p.ended:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(within):
+		return 0, fmt.Errorf("%s has not ended after %v", p.Name, within)
+	}
+}
+
+// tailSize is the length of the end of a log that is shown when a test fails.
+const tailSize = 16 << 10
+
+// Tail returns the end of the process's output.
+func (p *Process) Tail() []byte {
+	data, err := os.ReadFile(p.Log)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return data[max(0, len(data)-tailSize):]
+}
+
+// watcher copies the output of a process to a file and finds its listening line.
+type watcher struct {
+	file  io.Writer
+	line  []byte
+	done  bool
+	found chan map[string]string
+}
+
+// Write is called by one goroutine at a time, since both outputs of the process are the same writer.
+func (w *watcher) Write(data []byte) (int, error) {
+	if !w.done {
+		w.line = append(w.line, data...)
+		for !w.done {
+			line, rest, ok := bytes.Cut(w.line, []byte("\n"))
+			if !ok {
+				break
+			}
+			w.line = rest
+			if fields := keyValues(string(line)); fields["event"] == "listening" {
+				w.done = true
+				w.found <- fields
+			}
+		}
+	}
+	return w.file.Write(data)
+}
+
+func keyValues(line string) map[string]string {
+	out := map[string]string{}
+	for _, part := range strings.Fields(line) {
+		if k, v, ok := strings.Cut(part, "="); ok {
+			out[k] = strings.Trim(v, `"`)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/rig/call.go
@@ -0,0 +1,98 @@
+package rig
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/stand/trace"
+)
+
+// Call is a caller's request.
+type Call struct {
+	Method   string // GET if empty
+	Path     string
+	Body     string
+	Headers  map[string]string
+	Identity string        // what makes this work the same as that of other calls; for the judge only
+	Timeout  time.Duration // 10 s if 0
+}
+
+// Answer is what the caller received. Err is set when there was no whole answer.
+type Answer struct {
+	Mark       string // of the call, unique in the run
+	Status     int
+	Verdict    string
+	RetryAfter string
+	Close      bool // the instance closes the connection
+	Body       []byte
+	Took       time.Duration
+	Err        error
+}
+
+// defaultTimeout is longer than any route's timeout in tests.
+const defaultTimeout = 10 * time.Second
+
+// Call sends a request to the caller listener of an instance on a connection of its own, and journals it for the
+// judge. It may be used by many goroutines.
+func (r *Rig) Call(instance string, c Call) Answer {
+	a := Answer{Mark: fmt.Sprintf("m%06d", r.marks.Add(1))}
+	addr, err := r.procs[instance].Address("caller")
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.write(req, "http://"+addr.String(), a.Mark)
+	begin := trace.Now()
+	a.Err = r.client.DoTimeout(req, resp, c.timeout())
+	end := trace.Now()
+	a.Took = time.Duration(end - begin)
+	ev := trace.Event{
+		Kind: trace.Call, Instance: instance, Mark: a.Mark, Identity: c.Identity, Method: c.Method, Path: c.Path,
+		Slot: trace.NoSlot, Begin: begin, End: end,
+	}
+	if a.Err != nil {
+		ev.Reason = a.Err.Error()
+	} else {
+		a.read(resp)
+		ev.Status, ev.Verdict, ev.Body = a.Status, a.Verdict, a.Body
+	}
+	if err := r.calls.Write(&ev); err != nil {
+		r.tb.Errorf("journal of calls: %v", err)
+	}
+	return a
+}
+
+func (c *Call) timeout() time.Duration {
+	if c.Timeout == 0 {
+		return defaultTimeout
+	}
+	return c.Timeout
+}
+
+func (c *Call) write(req *fasthttp.Request, base, mark string) {
+	if c.Method != "" {
+		req.Header.SetMethod(c.Method)
+	}
+	req.SetRequestURI(base + c.Path)
+	req.SetBodyString(c.Body)
+	for _, k := range slices.Sorted(maps.Keys(c.Headers)) {
+		req.Header.Set(k, c.Headers[k])
+	}
+	req.Header.Set("Mark", mark)
+	// An idle connection that the instance closes just now would look like a lost request.
+	req.SetConnectionClose()
+}
+
+func (a *Answer) read(resp *fasthttp.Response) {
+	a.Status, a.Close = resp.StatusCode(), resp.ConnectionClose()
+	a.Verdict = string(resp.Header.Peek("Bramleycove-Verdict"))
+	a.RetryAfter = string(resp.Header.Peek("Retry-After"))
+	a.Body = slices.Clone(resp.Body())
+}
--- /dev/null
+++ b/internal/stand/rig/control.go
@@ -0,0 +1,159 @@
+package rig
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/stand/bkend"
+	"github.com/bramleycove/bramleycove/internal/stand/listsv"
+	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
+)
+
+// controlTimeout bounds requests to control and admin listeners.
+const controlTimeout = 5 * time.Second
+
+func newClient() *fasthttp.Client {
+	return &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxConnsPerHost:           1 << 14,
+	}
+}
+
+// Post sends a command to the control listener of a stand-in. Out, if not nil, receives the answer.
+func (r *Rig) Post(name string, command, out any) error {
+	body, err := json.Marshal(command)
+	if err != nil {
+		return err
+	}
+	return r.exchange(name, "control", "/control", fasthttp.MethodPost, body, out)
+}
+
+func (r *Rig) exchange(name, field, path, method string, body []byte, out any) error {
+	addr, err := r.procs[name].Address(field)
+	if err != nil {
+		return err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr.String() + path)
+	req.SetBody(body)
+	req.SetConnectionClose()
+	if err := r.direct.DoTimeout(req, resp, controlTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("%s answered %d to %s: %s", name, resp.StatusCode(), path, resp.Body())
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(resp.Body(), out)
+}
+
+// LogService sends a command to the log.
+func (r *Rig) LogService(cmd logsrv.Command) {
+	r.tb.Helper()
+	r.check(r.Post(Log, cmd, nil))
+}
+
+// LogCounts returns what the log has done.
+func (r *Rig) LogCounts() (c logsrv.Counts) {
+	r.tb.Helper()
+	r.check(r.exchange(Log, "control", "/control", fasthttp.MethodGet, nil, &c))
+	return c
+}
+
+// ListService sends a command to the list.
+func (r *Rig) ListService(cmd listsv.Command) {
+	r.tb.Helper()
+	r.check(r.Post(List, cmd, nil))
+}
+
+// Server sends a command to a server.
+func (r *Rig) Server(name string, cmd bkend.Command) {
+	r.tb.Helper()
+	r.check(r.Post(name, cmd, nil))
+}
+
+// ServerStatus returns the state and the counters of a server.
+func (r *Rig) ServerStatus(name string) (s bkend.Status) {
+	r.tb.Helper()
+	r.check(r.exchange(name, "control", "/control", fasthttp.MethodGet, nil, &s))
+	return s
+}
+
+// Status is the answer of an instance to GET /status, as far as tests rely on it.
+type Status struct {
+	Instance   string `json:"instance"`
+	DC         string `json:"dc"`
+	Config     uint64 `json:"config"`
+	Controller bool   `json:"controller"`
+	Term       uint64 `json:"term"`
+	Epoch      uint64 `json:"epoch"`
+	Ready      bool   `json:"ready"`
+}
+
+// Status returns the state of an instance.
+func (r *Rig) Status(name string) (Status, error) {
+	var s Status
+	return s, r.exchange(name, "admin", "/status", fasthttp.MethodGet, nil, &s)
+}
+
+// Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
+// or "" if none does.
+func (r *Rig) Controller(dc string) string {
+	best, name := Status{}, ""
+	for _, in := range r.Plan.Instances {
+		if in.DC != dc || !r.Running(in.Name) {
+			continue
+		}
+		s, err := r.Status(in.Name)
+		if err == nil && s.Controller && (s.Term > best.Term || s.Term == best.Term && s.Epoch >= best.Epoch) {
+			best, name = s, in.Name
+		}
+	}
+	return name
+}
+
+// Pools returns the pool table of the plan with the given data centres declared lost.
+func (r *Rig) Pools(lost ...string) string {
+	r.tb.Helper()
+	text, err := r.Plan.table(lost, func(name string) netip.AddrPort { return r.Front(name).Address() })
+	r.check(err)
+	return string(text)
+}
+
+// TryPublish publishes both tables with the operators' command and returns its exit code and output.
+func (r *Rig) TryPublish(routes, pools string) (int, string) {
+	r.tb.Helper()
+	args := []string{"publish", "--settings", filepath.Join(r.dir, operator+".settings")}
+	for _, f := range []struct{ name, text string }{{"routes", routes}, {"pools", pools}} {
+		path := filepath.Join(r.dir, fmt.Sprintf("%s-%d.table", f.name, r.marks.Add(1)))
+		r.check(os.WriteFile(path, []byte(f.text), 0o600))
+		args = append(args, "--"+f.name, path)
+	}
+	cmd := exec.Command(r.bin.Daemon, args...)
+	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState == nil {
+		r.tb.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+// Publish publishes routes and the pool table of the plan, and fails the test if they are not in force.
+func (r *Rig) Publish(routes string) {
+	r.tb.Helper()
+	if code, out := r.TryPublish(routes, r.Pools()); code != 0 {
+		r.tb.Fatalf("publish: exit code %d\n%s", code, out)
+	}
+}
--- /dev/null
+++ b/internal/stand/rig/rig.go
@@ -0,0 +1,385 @@
+// Package rig runs the system as processes on loopback for integration tests: stand-ins of the platform, backend
+// servers and instances, with the fault proxy between any two of them.
+package rig
+
+import (
+	"maps"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/stand/hold"
+	"github.com/bramleycove/bramleycove/internal/stand/listsv"
+	"github.com/bramleycove/bramleycove/internal/stand/proc"
+	"github.com/bramleycove/bramleycove/internal/stand/proxy"
+	"github.com/bramleycove/bramleycove/internal/stand/trace"
+)
+
+// The names of the platform's services in Link, Front, Freeze and the like.
+const (
+	Log  = "log"
+	List = "list"
+)
+
+// operator is the name under which publish commands run.
+const operator = "operator"
+
+// Rig is one running system. Its methods end the test on failure and must be called by the test's goroutine, except
+// for Call, Post and Status.
+type Rig struct {
+	Plan Plan
+
+	tb      testing.TB
+	dir     string
+	bin     proc.Programs
+	procs   map[string]*proc.Process
+	ports   map[string]*hold.Port // of stand-ins, so that they can restart at the same address
+	links   map[link]*proxy.Proxy
+	calls   *trace.Writer
+	callLog string
+	marks   atomic.Int64
+	client  *fasthttp.Client
+	direct  *fasthttp.Client
+}
+
+// link is a pair of process names. An empty From stands for all processes without a proxy of their own.
+type link struct{ from, to string }
+
+// New starts the log, the list and the servers of the plan. Instances are started by Start. Everything ends with the
+// test.
+func New(tb testing.TB, plan Plan) *Rig {
+	tb.Helper()
+	bin, err := proc.Build()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r := &Rig{
+		Plan: plan, tb: tb, dir: tb.TempDir(), bin: bin, procs: map[string]*proc.Process{}, ports: map[string]*hold.Port{},
+		links: map[link]*proxy.Proxy{}, client: newClient(), direct: newClient(),
+	}
+	tb.Cleanup(r.end)
+	r.callLog = filepath.Join(r.dir, "calls.jsonl")
+	r.calls, err = trace.Open(r.callLog)
+	r.check(err)
+	r.connect()
+	r.standin(Log, "log", plan.Log)
+	r.standin(List, "list", plan.List)
+	for _, s := range plan.Servers {
+		r.server(s)
+	}
+	for _, in := range plan.Instances {
+		r.instance(in)
+	}
+	r.settings(Instance{Name: operator, DC: r.dc(), Region: r.region()})
+	return r
+}
+
+func (r *Rig) check(err error) {
+	r.tb.Helper()
+	if err != nil {
+		r.tb.Fatal(err)
+	}
+}
+
+func (r *Rig) dc() string {
+	if len(r.Plan.Instances) > 0 {
+		return r.Plan.Instances[0].DC
+	}
+	return "dk-east-1"
+}
+
+func (r *Rig) region() string {
+	if len(r.Plan.Instances) > 0 {
+		return r.Plan.Instances[0].Region
+	}
+	return "dk-east"
+}
+
+// connect makes all proxies. They refuse connections until their target listens.
+func (r *Rig) connect() {
+	var pairs []link
+	for _, s := range r.Plan.Servers {
+		pairs = append(pairs, link{"", s.Name})
+	}
+	for _, in := range r.Plan.Instances {
+		pairs = append(pairs, link{"", in.Name}, link{in.Name, Log}, link{in.Name, List})
+		if !r.Plan.Pairs {
+			continue
+		}
+		for _, s := range r.Plan.Servers {
+			pairs = append(pairs, link{in.Name, s.Name})
+		}
+		for _, other := range r.Plan.Instances {
+			if other.Name != in.Name {
+				pairs = append(pairs, link{in.Name, other.Name})
+			}
+		}
+	}
+	pairs = append(pairs, link{operator, Log}, link{operator, List})
+	for _, l := range pairs {
+		p, err := proxy.New()
+		r.check(err)
+		r.links[l] = p
+	}
+}
+
+func (r *Rig) add(name, path string, args ...string) *proc.Process {
+	p := &proc.Process{Name: name, Path: path, Args: args, Log: filepath.Join(r.dir, name+".log")}
+	r.procs[name] = p
+	return p
+}
+
+func (r *Rig) standin(name, command string, args []string) {
+	r.tb.Helper()
+	port, err := hold.Reserve(netip.MustParseAddrPort("127.0.0.1:0"))
+	r.check(err)
+	r.ports[name] = port
+	r.add(name, r.bin.Standin, append([]string{command, "--address", port.Addr.String()}, args...)...)
+	r.Start(name)
+}
+
+func (r *Rig) server(s Server) {
+	r.tb.Helper()
+	s.defaults()
+	pool, err := r.Plan.pool(s.Pool)
+	r.check(err)
+	args := []string{
+		"--name", s.Name, "--pool", s.Pool, "--list", r.address(List, "control").String(),
+		"--advertise", r.Front(s.Name).Address().String(), "--journal", r.journal(s.Name),
+		"--slots", strconv.Itoa(s.Slots), "--connections", strconv.Itoa(s.Connections),
+	}
+	if s.Checks {
+		args = append(args, "--checks")
+	}
+	if pool.Keyed {
+		args = append(args, "--keyed")
+	}
+	r.standin(s.Name, "server", append(args, s.Args...))
+}
+
+func (r *Rig) journal(server string) string { return filepath.Join(r.dir, server+".jsonl") }
+
+func (r *Rig) instance(in Instance) {
+	r.tb.Helper()
+	r.add(in.Name, r.bin.Daemon, "serve", "--settings", r.settings(in))
+}
+
+// settings writes the settings file of an instance and returns its path.
+func (r *Rig) settings(in Instance) string {
+	r.tb.Helper()
+	const any0 = "127.0.0.1:0"
+	set := map[string]any{
+		"instance": in.Name, "dc": in.DC, "region": in.Region, "caller": any0, "peer": any0, "admin": any0,
+		"log": r.Link(in.Name, Log).Address().String(), "list": r.Link(in.Name, List).Address().String(),
+	}
+	seeds, proxies := []string{}, map[string]string{}
+	for l, p := range r.links {
+		switch {
+		case l.from == "" && l.to == in.Name:
+			set["advertise"] = p.Address().String()
+		case l.from == in.Name && l.to != Log && l.to != List:
+			proxies[r.Front(l.to).Address().String()] = p.Address().String()
+		}
+	}
+	for _, other := range r.Plan.Instances {
+		if other.Name != in.Name {
+			seeds = append(seeds, r.Front(other.Name).Address().String())
+		}
+	}
+	set["seeds"] = seeds
+	if r.Plan.Pairs {
+		set["proxies"] = proxies
+	}
+	maps.Copy(set, r.Plan.Settings)
+	maps.Copy(set, in.Settings)
+	text, err := json.MarshalIndent(set, "", "  ")
+	r.check(err)
+	path := filepath.Join(r.dir, in.Name+".settings")
+	r.check(os.WriteFile(path, text, 0o600))
+	return path
+}
+
+// Link returns the proxy that only from uses to reach to.
+func (r *Rig) Link(from, to string) *proxy.Proxy {
+	r.tb.Helper()
+	return r.find(link{from, to})
+}
+
+// Front returns the proxy by which everybody reaches a server, or the peer listener of an instance. With Pairs, the
+// proxy of each pair is before it.
+func (r *Rig) Front(to string) *proxy.Proxy {
+	r.tb.Helper()
+	return r.find(link{"", to})
+}
+
+func (r *Rig) find(l link) *proxy.Proxy {
+	r.tb.Helper()
+	p := r.links[l]
+	if p == nil {
+		r.tb.Fatalf("no proxy from %q to %q in this plan", l.from, l.to)
+	}
+	return p
+}
+
+// Between returns the proxies of both directions between two groups of instances, so that a test can part data
+// centres. It needs Pairs.
+func (r *Rig) Between(a, b []string) []*proxy.Proxy {
+	r.tb.Helper()
+	var out []*proxy.Proxy
+	for _, x := range a {
+		for _, y := range b {
+			out = append(out, r.Link(x, y), r.Link(y, x))
+		}
+	}
+	return out
+}
+
+// Start starts processes, also again after their end, and waits until they listen. Instances and servers enter the
+// list.
+func (r *Rig) Start(names ...string) {
+	r.tb.Helper()
+	for _, name := range names {
+		r.check(r.TryStart(name))
+	}
+}
+
+// TryStart is Start for one process that may fail to start.
+func (r *Rig) TryStart(name string) error {
+	p := r.procs[name]
+	if err := p.Start(); err != nil {
+		return err
+	}
+	field := "address"
+	if r.isInstance(name) {
+		field = "peer"
+	}
+	target, err := p.Address(field)
+	if err != nil {
+		return err
+	}
+	if err := r.aim(name, target); err != nil {
+		return err
+	}
+	if !r.isInstance(name) {
+		return nil
+	}
+	in := r.Plan.Instances[slices.IndexFunc(r.Plan.Instances, func(in Instance) bool { return in.Name == name })]
+	return r.Post(List, listsv.Command{Put: listsv.List{Instances: []listsv.Instance{{
+		ID: in.Name, DC: in.DC, Region: in.Region, Peer: r.links[link{"", name}].Address().String(),
+	}}}}, nil)
+}
+
+// aim directs the proxies of a process to where it listens now.
+func (r *Rig) aim(name string, target netip.AddrPort) error {
+	for l, p := range r.links {
+		if l.to != name {
+			continue
+		}
+		to := target
+		if front := r.links[link{"", name}]; front != nil && l.from != "" {
+			to = front.Address()
+		}
+		if err := p.Target(to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Rig) isInstance(name string) bool {
+	return slices.ContainsFunc(r.Plan.Instances, func(in Instance) bool { return in.Name == name })
+}
+
+// Freeze stops processes with SIGSTOP. Their connections stay open.
+func (r *Rig) Freeze(names ...string) { r.tb.Helper(); r.signal(syscall.SIGSTOP, names) }
+
+// Thaw ends Freeze.
+func (r *Rig) Thaw(names ...string) { r.tb.Helper(); r.signal(syscall.SIGCONT, names) }
+
+// Kill ends processes with SIGKILL. Connections to them are refused from then on.
+func (r *Rig) Kill(names ...string) {
+	r.tb.Helper()
+	r.signal(syscall.SIGKILL, names)
+	for _, name := range names {
+		_, err := r.procs[name].Wait(proc.StartTime)
+		r.check(err)
+		r.refuse(name)
+	}
+}
+
+// Stop tells a process to end with SIGTERM, waits for that, and returns the exit code.
+func (r *Rig) Stop(name string, within time.Duration) int {
+	r.tb.Helper()
+	r.signal(syscall.SIGTERM, []string{name})
+	code, err := r.procs[name].Wait(within)
+	r.check(err)
+	r.refuse(name)
+	return code
+}
+
+// Terminate tells processes to end with SIGTERM and does not wait.
+func (r *Rig) Terminate(names ...string) { r.tb.Helper(); r.signal(syscall.SIGTERM, names) }
+
+// Running tells whether a process has not ended.
+func (r *Rig) Running(name string) bool { return r.procs[name].Running() }
+
+func (r *Rig) signal(sig syscall.Signal, names []string) {
+	r.tb.Helper()
+	for _, name := range names {
+		r.check(r.procs[name].Signal(sig))
+	}
+}
+
+// refuse makes the proxies of an ended process refuse connections, as its machine would.
+func (r *Rig) refuse(name string) {
+	for l, p := range r.links {
+		if l.to == name {
+			r.check(p.Refuse(true))
+		}
+	}
+}
+
+func (r *Rig) address(name, field string) netip.AddrPort {
+	r.tb.Helper()
+	addr, err := r.procs[name].Address(field)
+	r.check(err)
+	return addr
+}
+
+// Await polls until done returns true, and fails the test after the given time.
+func (r *Rig) Await(what string, within time.Duration, done func() bool) {
+	r.tb.Helper()
+	const interval = 10 * time.Millisecond
+	for end := time.Now().Add(within); !done(); time.Sleep(interval) {
+		if time.Now().After(end) {
+			r.tb.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// end kills all processes, shows their logs if the test failed, and checks them for data races.
+func (r *Rig) end() {
+	for _, p := range r.procs {
+		if p.Running() {
+			_ = p.Signal(syscall.SIGKILL)
+			_, _ = p.Wait(proc.StartTime)
+		}
+	}
+	for _, p := range r.links {
+		p.Close()
+	}
+	for _, port := range r.ports {
+		_ = port.Release()
+	}
+	_ = r.calls.Close()
+	r.report()
+}
