--- /dev/null
+++ b/internal/stand/fleet/fleet.go
@@ -0,0 +1,110 @@
+// Package fleet holds the small systems that integration tests start from, and a background load on them.
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/stand/rig"
+)
+
+// Size is what each data centre of a plan has.
+type Size struct {
+	Instances int
+	Stock     int // checking servers of the keyed pool "stock"
+	Cut       int // servers of the pool "cut" that do not check
+	Args      []string
+}
+
+// Slots is the number of slots of the keyed pool.
+const Slots = 64
+
+// Plan returns a system with data centres "dk-east-1" to "dk-east-n" in one region. Instances are named i1, i2 and so
+// on over all data centres, servers s1, s2, ... (stock) and c1, c2, ... (cut).
+func Plan(dcs int, size Size) rig.Plan {
+	p := rig.Plan{
+		Regions: []rig.Region{{Name: "dk-east"}},
+		Pools:   []rig.Pool{{Name: "stock", Keyed: true, Slots: Slots}, {Name: "cut"}},
+	}
+	for d := range dcs {
+		dc := fmt.Sprintf("dk-east-%d", d+1)
+		p.Regions[0].DCs = append(p.Regions[0].DCs, dc)
+		for i := range size.Instances {
+			name := fmt.Sprintf("i%d", d*size.Instances+i+1)
+			p.Instances = append(p.Instances, rig.Instance{Name: name, DC: dc, Region: "dk-east"})
+		}
+		for i := range size.Stock {
+			name := fmt.Sprintf("s%d", d*size.Stock+i+1)
+			p.Servers = append(p.Servers, rig.Server{Name: name, Pool: "stock", DC: dc, Checks: true, Args: size.Args})
+		}
+		for i := range size.Cut {
+			name := fmt.Sprintf("c%d", d*size.Cut+i+1)
+			p.Servers = append(p.Servers, rig.Server{Name: name, Pool: "cut", DC: dc, Args: size.Args})
+		}
+	}
+	return p
+}
+
+// Routes is the route table of the plan. Orders carry an idempotency key; notes do not.
+const Routes = `{
+  "ranks": [
+    {"name": "urgent", "share": 0.5, "target": "500ms", "worth": 10},
+    {"name": "normal", "share": 0.3, "target": "1s", "worth": 3},
+    {"name": "bulk", "share": 0.1, "target": "2s", "worth": 1},
+  ],
+  "routes": [
+    {"name": "stock", "methods": ["GET"], "path": "/stock/*", "pool": "stock", "rank": "urgent", "tenant": "skygge",
+      "key": {"segment": 2}, "timeout": "2s", "retry": true},
+    {"name": "orders", "methods": ["POST"], "path": "/orders", "pool": "cut", "rank": "normal", "tenant": "skygge",
+      "timeout": "3s", "once": {"header": "X-Order-Id", "window": "24h"}, "retry": true},
+    {"name": "notes", "methods": ["POST"], "path": "/notes", "pool": "cut", "rank": "bulk", "tenant": "skygge",
+      "timeout": "3s", "retry": true},
+  ],
+}`
+
+// Lookup is a request for a key.
+func Lookup(key int) rig.Call { return rig.Call{Path: fmt.Sprintf("/stock/k%d", key)} }
+
+// Order is a request that must not run twice.
+func Order(id string) rig.Call {
+	return rig.Call{
+		Method: "POST", Path: "/orders", Body: "order " + id, Identity: id, Headers: map[string]string{"X-Order-Id": id},
+	}
+}
+
+// Note is a request that may be repeated by its caller, and is new work each time.
+func Note(body string) rig.Call { return rig.Call{Method: "POST", Path: "/notes", Body: body} }
+
+// Patience bounds waits for states that a healthy system reaches within a few seconds. It is no target.
+const Patience = 60 * time.Second
+
+// Up starts the system, publishes the tables and waits until each instance is ready and each slot is served.
+func Up(tb testing.TB, p rig.Plan) *rig.Rig {
+	tb.Helper()
+	r := rig.New(tb, p)
+	for _, in := range p.Instances {
+		r.Start(in.Name)
+	}
+	r.Publish(Routes)
+	for _, in := range p.Instances {
+		r.Await(in.Name+" is ready", Patience, func() bool {
+			s, err := r.Status(in.Name)
+			return err == nil && s.Ready && s.Config > 0
+		})
+	}
+	Served(r, p.Instances[0].Name)
+	return r
+}
+
+// keys is enough for each slot to have one, with high probability.
+const keys = 8 * Slots
+
+// Served waits until lookups of many keys succeed through an instance.
+func Served(r *rig.Rig, instance string) {
+	for key := range keys {
+		r.Await(fmt.Sprintf("key %d is served through %s", key, instance), Patience, func() bool {
+			return r.Call(instance, Lookup(key)).Status == 200
+		})
+	}
+}
--- /dev/null
+++ b/internal/stand/fleet/load.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/bramleycove/bramleycove/internal/stand/rig"
+)
+
+// Load is a background load on a system: callers that send one request after the other.
+type Load struct {
+	stop  chan struct{}
+	tasks conc.WaitGroup
+	sent  atomic.Int64
+
+	mu      sync.Mutex
+	answers []rig.Answer
+}
+
+// Start starts callers. Each sends the calls that next returns for growing numbers, to the instances in turn.
+func Start(r *rig.Rig, callers int, instances []string, next func(n int) rig.Call) *Load {
+	l := &Load{stop: make(chan struct{})}
+	for range callers {
+		l.tasks.Go(func() {
+			for {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				n := int(l.sent.Add(1))
+				a := r.Call(instances[n%len(instances)], next(n))
+				l.mu.Lock()
+				l.answers = append(l.answers, a)
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// Count returns the number of answers so far for which match returns true.
+func (l *Load) Count(match func(rig.Answer) bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, a := range l.answers {
+		if match(a) {
+			n++
+		}
+	}
+	return n
+}
+
+// Ran matches the calls that received their answer.
+func Ran(a rig.Answer) bool { return a.Err == nil && a.Verdict == "ran" }
+
+// Stop ends the callers after their current call, and returns all answers.
+func (l *Load) Stop() []rig.Answer {
+	close(l.stop)
+	l.tasks.Wait()
+	return l.answers
+}
