--- a/internal/flow/limit/limit.go
+++ b/internal/flow/limit/limit.go
@@ -123,8 +123,13 @@
 	if s.frozen {
 		// The server may have been restarted: its usual latency and its limit have to be learnt again.
 		s.frozen, s.cold, s.limit, s.good, s.usual, s.recent = false, true, 1, 0, 0, 0
+		s.until = time.Time{}
+	}
+	s.failures = 0
+	// An answer to a request that started before a shedding server was left alone does not end that time.
+	if !now.Before(s.until) {
+		s.hold = 0
 	}
-	s.failures, s.hold, s.until = 0, 0, time.Time{}
 	s.observe(latency.Seconds())
 	if s.recent > slow*s.usual && !s.cold {
 		s.reduce(now)
@@ -173,6 +178,10 @@
 func (s *Server) shed(now time.Time, hold time.Duration) {
 	s.failures = 0
 	s.cold = false
+	if s.frozen {
+		// A refusal is an answer as well.
+		s.frozen, s.limit, s.until = false, 1, time.Time{}
+	}
 	s.reduce(now)
 	s.rest(now, hold)
 }
--- /dev/null
+++ b/internal/flow/limit/limit_test.go
@@ -0,0 +1,142 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleycove/bramleycove/internal/flow/limit"
+)
+
+var start = time.Unix(1000, 0)
+
+const ms = time.Millisecond
+
+// Guards against limits outside 1 to the declared slots, against a server that is used while it is held back, and
+// against one that is never used again.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		s := limit.New(slots)
+		now, running := start, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				if !s.Ready(now) {
+					t.Skip("not ready")
+				}
+				s.Start()
+				running++
+			},
+			"finish": func(t *rapid.T) {
+				if running == 0 {
+					t.Skip("nothing runs")
+				}
+				running--
+				out := limit.Outcome(rapid.IntRange(0, 4).Draw(t, "outcome"))
+				took := time.Duration(rapid.IntRange(0, 500).Draw(t, "took")) * ms
+				s.Finish(now, out, took, time.Duration(rapid.IntRange(0, 9).Draw(t, "hold"))*time.Second)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "wait")) * ms)
+			},
+			"": func(t *rapid.T) {
+				if s.Running() != running || s.Limit() < 1 || s.Limit() > slots || (s.Frozen() && s.Limit() != 1) {
+					t.Fatalf("limit %d of %d, %d running, want %d", s.Limit(), slots, s.Running(), running)
+				}
+				until := s.Until(now)
+				if !until.IsZero() && (s.Ready(now) || until.Sub(now) > 4*time.Second) {
+					t.Fatalf("ready %v, held back for %v", s.Ready(now), until.Sub(now))
+				}
+				if running == 0 && !s.Ready(now.Add(4*time.Second)) {
+					t.Fatal("an idle server stays unused")
+				}
+			},
+		})
+	})
+}
+
+// run completes n requests one after the other.
+func run(s *limit.Server, now time.Time, n int, out limit.Outcome, took time.Duration) {
+	for range n {
+		s.Start()
+		s.Finish(now, out, took, 0)
+	}
+}
+
+// Guards against a cold server that is loaded fully at once, or is never loaded fully.
+func TestSlowStart(t *testing.T) {
+	s := limit.New(3)
+	if s.Limit() != 1 {
+		t.Errorf("cold limit %d", s.Limit())
+	}
+	run(s, start, 4, limit.Done, 10*ms)
+	if s.Limit() != 2 {
+		t.Errorf("limit %d after four answers", s.Limit())
+	}
+	run(s, start, 4, limit.Done, 10*ms)
+	if s.Limit() != 3 {
+		t.Errorf("warm limit %d", s.Limit())
+	}
+}
+
+// Guards against a frozen server that keeps taking work, is tried with more than one request, or is not left alone
+// longer after each failed trial; and against short deadlines of callers freezing a server.
+func TestFrozen(t *testing.T) {
+	s := limit.New(3)
+	run(s, start, 8, limit.Done, 10*ms)
+	run(s, start, 3, limit.Timeout, 5*ms)
+	if s.Frozen() {
+		t.Error("frozen by timeouts shorter than the usual latency")
+	}
+	run(s, start, 2, limit.Timeout, time.Second)
+	if !s.Frozen() || s.Ready(start.Add(249*ms)) {
+		t.Fatal("not left alone")
+	}
+	now := start.Add(250 * ms)
+	s.Start()
+	if s.Ready(now) {
+		t.Error("a second trial while one runs")
+	}
+	s.Finish(now, limit.Timeout, time.Second, 0)
+	if got := s.Until(now).Sub(now); got != 500*ms {
+		t.Errorf("second hold %v", got)
+	}
+	run(s, now.Add(time.Second), 1, limit.Done, 10*ms)
+	if s.Frozen() || !s.Ready(now.Add(time.Second)) || s.Limit() != 1 {
+		t.Error("not cold after a trial that succeeded")
+	}
+}
+
+// Guards against a shedding server that is not believed: neither a success of an older request nor a second refusal may
+// end or prolong its time.
+func TestShedding(t *testing.T) {
+	s := limit.New(3)
+	run(s, start, 8, limit.Done, 10*ms)
+	s.Start()
+	s.Start()
+	s.Start()
+	s.Finish(start, limit.Shed, ms, 2*time.Second)
+	s.Finish(start.Add(ms), limit.Shed, ms, 2*time.Second)
+	s.Finish(start.Add(2*ms), limit.Done, 10*ms, 0)
+	if got := s.Until(start.Add(2 * ms)); !got.Equal(start.Add(2 * time.Second)) {
+		t.Errorf("held back until %v", got.Sub(start))
+	}
+	if s.Limit() >= 3 || s.Frozen() {
+		t.Errorf("limit %d, frozen %v", s.Limit(), s.Frozen())
+	}
+}
+
+// Guards against a limit that stays up while latency rises far above the usual.
+func TestSlow(t *testing.T) {
+	s := limit.New(8)
+	run(s, start, 40, limit.Done, 10*ms)
+	now := start
+	for range 20 {
+		now = now.Add(time.Second)
+		run(s, now, 1, limit.Done, 200*ms)
+	}
+	if s.Limit() > 4 {
+		t.Errorf("limit %d", s.Limit())
+	}
+}
--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -58,6 +58,8 @@
 	initialCost = 0.01
 	// weight is the part of a new observation in the means. About 20 observations replace the old value.
 	weight = 0.1
+	// minShare is assumed for a rank without a guaranteed share.
+	minShare = 0.01
 	// minRetry is the shortest time to retry after that a refusal names.
 	minRetry = 100 * time.Millisecond
 )
@@ -130,10 +132,13 @@
 // estimate returns the expected time until a new entry of the rank is answered.
 func (q *Queue[T]) estimate(rank int) time.Duration {
 	c := &q.classes[rank]
+	each := c.cost / float64(q.capacity)
 	gap := c.gap
 	if gap == 0 {
-		gap = c.cost / float64(q.capacity) / q.share(rank)
+		gap = each / q.share(rank)
 	}
+	// The measured gap may stem from a time when no server answered. Usable servers give a rank at least its share.
+	gap = min(max(gap, each), each/max(c.Share, minShare))
 	return time.Duration((float64(c.live)*gap + c.cost) * float64(time.Second))
 }
 
@@ -156,7 +161,7 @@
 	if urgent {
 		s += max(0, rest)
 	}
-	return max(s, 0.01)
+	return max(s, minShare)
 }
 
 // Cancel removes a waiting entry. It reports false if the entry has left the queue already.
--- /dev/null
+++ b/internal/flow/ranks/ranks_test.go
@@ -0,0 +1,187 @@
+package ranks_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleycove/bramleycove/internal/flow/ranks"
+)
+
+var start = time.Unix(1000, 0)
+
+// Example shows that urgent work goes first and the least urgent rank still gets its share.
+func Example() {
+	q := ranks.New[string]([]ranks.Rank{{Share: 0.6}, {Share: 0.4}})
+	for range 5 {
+		q.Push(start, 1, start.Add(time.Minute), "bulk")
+		q.Push(start, 0, start.Add(time.Minute), "urgent")
+	}
+	for range 5 {
+		e, _ := q.Pop(start)
+		fmt.Print(e.Value, " ")
+	}
+	// Output: urgent urgent urgent bulk urgent
+}
+
+func genRanks(t *rapid.T) []ranks.Rank {
+	out := make([]ranks.Rank, rapid.IntRange(1, 4).Draw(t, "ranks"))
+	for i := range out {
+		out[i].Share = rapid.Float64Range(0.05, 0.5).Draw(t, "share")
+		out[i].Target = rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, time.Second}).Draw(t, "target")
+	}
+	return out
+}
+
+// fates counts how entries left the queue.
+type fates struct {
+	pushed, refused, popped, expired, cancelled int
+}
+
+// Guards against entries that are lost, come twice or out of order within their rank, against expired or cancelled
+// entries that take a slot, and against a queue that yields nothing while work waits.
+func TestConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := genRanks(t)
+		q := ranks.New[int](cfg)
+		q.SetCapacity(rapid.IntRange(1, 40).Draw(t, "capacity"))
+		now := start
+		var n fates
+		waiting := map[int]*ranks.Entry[int]{}
+		last := make([]int, len(cfg))
+		remove := func(e *ranks.Entry[int]) {
+			if waiting[e.Value] != e {
+				t.Fatalf("entry %d left twice", e.Value)
+			}
+			delete(waiting, e.Value)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				rank := rapid.IntRange(0, len(cfg)-1).Draw(t, "rank")
+				rest := time.Duration(rapid.IntRange(-1, 200).Draw(t, "rest")) * time.Millisecond
+				n.pushed++
+				e, after, ok := q.Push(now, rank, now.Add(rest), n.pushed)
+				if !ok {
+					n.refused++
+					if after <= 0 {
+						t.Fatal("refused without a time to try again")
+					}
+					return
+				}
+				waiting[n.pushed] = e
+			},
+			"pop": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+				e, expired := q.Pop(now)
+				for _, x := range expired {
+					remove(x)
+					n.expired++
+					if now.Before(x.Deadline) {
+						t.Fatal("dropped before its deadline")
+					}
+				}
+				if e == nil {
+					if len(waiting) > 0 {
+						t.Fatalf("nothing to serve while %d wait", len(waiting))
+					}
+					return
+				}
+				remove(e)
+				n.popped++
+				if !now.Before(e.Deadline) || e.Value <= last[e.Rank()] {
+					t.Fatalf("entry %d after %d, deadline %v", e.Value, last[e.Rank()], e.Deadline.Sub(now))
+				}
+				last[e.Rank()] = e.Value
+				q.Observe(e.Rank(), time.Duration(rapid.IntRange(0, 50).Draw(t, "service"))*time.Millisecond)
+			},
+			"cancel": func(t *rapid.T) {
+				id := rapid.IntRange(1, n.pushed+1).Draw(t, "id")
+				if e := waiting[id]; e != nil {
+					if !q.Cancel(e) || q.Cancel(e) {
+						t.Fatal("cancelled never or twice")
+					}
+					remove(e)
+					n.cancelled++
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Total() != len(waiting) || n.pushed != n.refused+n.popped+n.expired+n.cancelled+q.Total() {
+					t.Fatalf("%+v, %d waiting, Total %d", n, len(waiting), q.Total())
+				}
+			},
+		})
+	})
+}
+
+// Guards against starvation: while all ranks wait, each gets its share of the service time, whatever the others cost.
+func TestShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := genRanks(t)
+		cost := make([]time.Duration, len(cfg))
+		var sum, longest float64
+		for i := range cfg {
+			cfg[i].Target = 0
+			sum += cfg[i].Share
+			cost[i] = time.Duration(rapid.IntRange(1, 100).Draw(t, "cost")) * time.Millisecond
+			longest = max(longest, cost[i].Seconds())
+		}
+		q := ranks.New[int](cfg)
+		const n = 400
+		for i := range cfg {
+			for range 200 {
+				q.Observe(i, cost[i]) // until the mean has settled
+			}
+			for j := range n {
+				if _, _, ok := q.Push(start, i, start.Add(time.Hour), j); !ok {
+					t.Fatal("refused without a bound")
+				}
+			}
+		}
+		got := make([]float64, len(cfg))
+		total := 0.0
+		for range n {
+			e, _ := q.Pop(start)
+			got[e.Rank()] += cost[e.Rank()].Seconds()
+			total += cost[e.Rank()].Seconds()
+		}
+		for i, r := range cfg {
+			want := r.Share / max(1, sum) * total
+			if slack := float64(len(cfg)+1) * longest; got[i] < want-slack-0.01*total {
+				t.Fatalf("rank %d got %.3f s of %.3f s, guaranteed %.3f s", i, got[i], total, want)
+			}
+		}
+	})
+}
+
+// Guards against a queue that accepts what it cannot answer in time, and against one that stays closed after a time in
+// which no server answered.
+func TestBound(t *testing.T) {
+	q := ranks.New[int]([]ranks.Rank{{Share: 1, Target: 100 * time.Millisecond}})
+	q.SetCapacity(2)
+	fill := func(now time.Time) (n int) {
+		for {
+			_, after, ok := q.Push(now, 0, now.Add(time.Hour), n)
+			if !ok {
+				if after <= 0 {
+					t.Fatal("no time to try again")
+				}
+				return n
+			}
+			n++
+		}
+	}
+	// 10 ms a request at 2 servers: 90 ms of waiting hold 18 requests, and one more is accepted at the bound.
+	if n := fill(start); n < 18 || n > 20 {
+		t.Errorf("%d accepted", n)
+	}
+	now := start
+	for q.Total() > 0 {
+		now = now.Add(10 * time.Second) // a frozen server
+		q.Pop(now)
+	}
+	if n := fill(now); n < 18 {
+		t.Errorf("%d accepted after a stop", n)
+	}
+}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -99,11 +99,12 @@
 			return false, err
 		}
 		err = c.exchange(ctx, req, resp, until)
+		sent = c.sent // once put back, the connection belongs to another request
 		p.put(c, err == nil && !resp.ConnectionClose() && !req.ConnectionClose())
 		// An idle connection may have been closed by the server between the check and the write. As no byte was
 		// accepted, the request certainly did not run and goes out on another connection.
-		if err == nil || c.sent || fresh || ctx.Err() != nil || errors.Is(err, ErrLate) {
-			return c.sent, err
+		if err == nil || sent || fresh || ctx.Err() != nil || errors.Is(err, ErrLate) {
+			return sent, err
 		}
 	}
 }
