Test dispatcher stage, routes and caller listener

Unkeyed pools that permit it are served from another data centre when the local servers are frozen or leaving. A whole answer that arrives as the deadline passes is delivered; only its connection is not reused.

--- /dev/null
+++ b/internal/edge/front/front_test.go
@@ -0,0 +1,215 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/edge/front"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+type fixture struct {
+	*front.Front
+	addr   string
+	served chan struct{}
+}
+
+// start runs a front whose routes are /plain and /once.
+func start(t *testing.T, cfg front.Config) *fixture {
+	t.Helper()
+	table := &tables.Tables{Routes: []tables.Route{
+		{Name: "plain", Path: "/plain", Pool: "cut", Timeout: 10 * time.Second},
+		{Name: "once", Path: "/once", Pool: "cut", Timeout: 10 * time.Second, Once: &tables.Once{Header: "X-Id", Window: time.Hour}},
+	}}
+	cfg.Tables, cfg.Instance, cfg.DC = func() *tables.Tables { return table }, "i1", "a1"
+	if cfg.Send == nil {
+		cfg.Send = func(_ context.Context, req *work.Request) (work.Answer, error) {
+			return work.Answer{Status: 201, Headers: []work.Header{{Name: "X-Net", Value: "n"}}, Body: []byte("ran " + req.ID)}, nil
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{Front: front.New(cfg), addr: ln.Addr().String(), served: make(chan struct{})}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		defer close(f.served)
+		if err := f.Serve(ln); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		_ = f.Stop(context.Background(), 0)
+		wg.Wait()
+	})
+	return f
+}
+
+// raw sends text on a new connection and returns the answer.
+func (f *fixture) raw(t *testing.T, text string) *fasthttp.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	resp := new(fasthttp.Response)
+	if err := resp.Read(bufio.NewReader(c)); err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+func get(path string, headers ...string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: x\r\n" + strings.Join(append(headers, "\r\n"), "\r\n")
+}
+
+// Guards against an answer without its verdict, or an error without what a caller needs to act on it.
+func TestAnswers(t *testing.T) {
+	fail := &result.Error{Verdict: result.NotRun, Status: 503, Reason: "queue-full", RetryAfter: 1500 * time.Millisecond}
+	ok, full := start(t, front.Config{MaxBody: 100, MaxHeader: 1000}), start(t, front.Config{
+		Send: func(context.Context, *work.Request) (work.Answer, error) { return work.Answer{}, fail },
+	})
+	blocked := start(t, front.Config{Check: func(time.Time, [32]byte) bool { return true }})
+	broken := start(t, front.Config{Send: func(context.Context, *work.Request) (work.Answer, error) { panic("fault") }})
+	for name, c := range map[string]struct {
+		*fixture
+		text, verdict, reason, after string
+		status                       int
+	}{
+		"whole":       {ok, get("/plain"), "ran", "", "", 201},
+		"no route":    {ok, get("/else"), "not-run", "no-route", "", 404},
+		"no identity": {ok, get("/once"), "not-run", "no-identity", "", 400},
+		"no ledger":   {ok, get("/once", "X-Id: 1"), "not-run", front.ReasonLedger, "1", 503},
+		"long body":   {ok, "POST /plain HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("b", 101), "not-run", front.ReasonRequest, "", 413},
+		"long header": {ok, get("/plain", "X: "+strings.Repeat("h", 1100)), "not-run", front.ReasonRequest, "", 431},
+		"method":      {ok, "FETCH /plain HTTP/1.1\r\nHost: x\r\n\r\n", "not-run", "", "", 400},
+		"refused":     {full, get("/plain"), "not-run", "queue-full", "2", 503},
+		"quarantine":  {blocked, get("/plain"), "not-run", front.ReasonQuarantine, "60", 503},
+		"panic":       {broken, get("/plain"), "may-have-run", front.ReasonPanic, "", 500},
+	} {
+		h := c.raw(t, c.text)
+		var body struct{ Error, Verdict string }
+		if c.reason != "" {
+			if err := json.Unmarshal(h.Body(), &body); err != nil {
+				t.Errorf("%s: %v in %q", name, err, h.Body())
+			}
+		}
+		head := func(name string) string { return string(h.Header.Peek(name)) }
+		if h.StatusCode() != c.status || head(result.Header) != c.verdict || body.Error != c.reason || head("Retry-After") != c.after {
+			t.Errorf("%s: %v %s", name, h, h.Body())
+		}
+		if c.status == 201 && (head("X-Net") != "n" || string(h.Body()) != "ran "+head(work.RequestID)) {
+			t.Errorf("%s: %v %s", name, h, h.Body())
+		}
+	}
+}
+
+// Guards against work that must not repeat being run without a claim, and against a claim without a result.
+func TestLedger(t *testing.T) {
+	var claims, results int
+	f := start(t, front.Config{Begin: func(context.Context, [32]byte, time.Duration) (func(work.Answer, error), work.Answer, error) {
+		claims++
+		if claims > 1 {
+			return nil, work.Answer{Status: 202, Body: []byte("first")}, nil
+		}
+		return func(a work.Answer, err error) {
+			if a.Status == 201 && err == nil {
+				results++
+			}
+		}, work.Answer{}, nil
+	}})
+	if h := f.raw(t, get("/once", "X-Id: 1")); h.StatusCode() != 201 || results != 1 {
+		t.Errorf("first: %d, %d results", h.StatusCode(), results)
+	}
+	if h := f.raw(t, get("/once", "X-Id: 1")); h.StatusCode() != 202 || string(h.Body()) != "first" || results != 1 {
+		t.Errorf("resend: %v, %d results", h, results)
+	}
+}
+
+// Guards against a planned stop that cuts off a request, refuses one that the load balancer still sends, or keeps
+// connections.
+func TestStop(t *testing.T) {
+	hold, began := make(chan struct{}), make(chan struct{}, 2)
+	f := start(t, front.Config{Send: func(context.Context, *work.Request) (work.Answer, error) {
+		began <- struct{}{}
+		<-hold
+		return work.Answer{Status: 200}, nil
+	}})
+	var wg conc.WaitGroup
+	ask := func() {
+		if h := f.raw(t, get("/plain")); h.StatusCode() != 200 {
+			t.Errorf("while stopping: %v", h)
+		}
+	}
+	wg.Go(ask)
+	<-began
+	ctx, cancel := context.WithCancel(context.Background())
+	wg.Go(func() { _ = f.Stop(ctx, time.Hour) })
+	wg.Go(ask) // still accepted
+	<-began
+	close(hold)
+	eventuallyClosing(t, f)
+	cancel() // ends the linger time
+	wg.Wait()
+	<-f.served
+}
+
+// eventuallyClosing waits until answers carry "Connection: close".
+func eventuallyClosing(t *testing.T, f *fixture) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !f.raw(t, get("/plain")).ConnectionClose(); {
+		if time.Now().After(end) {
+			t.Fatal("answers do not close the connection")
+		}
+	}
+}
+
+// Guards against work going on for a caller that has hung up, unless it must not repeat, and against a slow sender
+// that holds a connection.
+func TestCallers(t *testing.T) {
+	ended := make(chan bool, 1)
+	f := start(t, front.Config{Send: func(ctx context.Context, _ *work.Request) (work.Answer, error) {
+		<-ctx.Done()
+		ended <- ctx.Err() == context.Canceled
+		return work.Answer{}, result.From(ctx.Err())
+	}})
+	dial := func(f *fixture, text string) net.Conn {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(text))
+		return c
+	}
+	c := dial(f, get("/plain"))
+	_ = c.Close()
+	if !<-ended {
+		t.Error("not cancelled")
+	}
+	f = start(t, front.Config{ReadTime: 300 * time.Millisecond, MaxConns: 1})
+	slow := dial(f, "GET /plain HTTP/1.1\r\n")
+	defer func() { _ = slow.Close() }()
+	if h := f.raw(t, ""); h.StatusCode() != 503 || string(h.Header.Peek(result.Header)) != "not-run" {
+		t.Errorf("connection beyond the limit: %v", h)
+	}
+	_ = slow.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp := new(fasthttp.Response)
+	if err := resp.Read(bufio.NewReader(slow)); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout {
+		t.Errorf("slow sender: %v, %v", resp, err)
+	}
+}
--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -178,6 +178,9 @@
 	if err := ln.permit(now, j.req); err != nil {
 		return err
 	}
+	if !now.Before(j.req.Deadline) {
+		return work.Refuse(ReasonDeadline, time.Second)
+	}
 	if j.rank = slices.Index(ln.names, j.req.Rank); j.rank < 0 {
 		return &result.Error{Verdict: result.NotRun, Status: 400, Reason: ReasonRank}
 	}
--- /dev/null
+++ b/internal/flow/lanes/lanes_test.go
@@ -0,0 +1,370 @@
+package lanes_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// backend is a server whose handler the test gives. It counts what runs.
+type backend struct {
+	addr         netip.AddrPort
+	running, max atomic.Int32
+	total, open  atomic.Int32
+}
+
+func newBackend(t *testing.T, handle fasthttp.RequestHandler) *backend {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{addr: netip.MustParseAddrPort(ln.Addr().String())}
+	srv := &fasthttp.Server{
+		Handler: func(c *fasthttp.RequestCtx) {
+			if c.Request.Header.IsDelete() {
+				return
+			}
+			defer b.running.Add(-1)
+			raise(&b.max, b.running.Add(1))
+			b.total.Add(1)
+			c.Response.Header.SetBytesV(work.RequestID, c.Request.Header.Peek(work.RequestID))
+			handle(c)
+		},
+		ConnState: func(_ net.Conn, s fasthttp.ConnState) {
+			if s == fasthttp.StateNew {
+				b.open.Add(1)
+			}
+		},
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = srv.Serve(ln) })
+	t.Cleanup(func() {
+		_ = srv.Shutdown()
+		wg.Wait()
+	})
+	return b
+}
+
+func raise(m *atomic.Int32, n int32) {
+	for old := m.Load(); n > old && !m.CompareAndSwap(old, n); old = m.Load() {
+	}
+}
+
+// clock is a time that the test moves.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Add(d time.Duration) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+	return c.now
+}
+
+type fixture struct {
+	*lanes.Stage
+	*clock
+	mu      sync.Mutex
+	struck  map[[32]byte]bool
+	strikes []string
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{clock: &clock{now: time.Now()}, struck: map[[32]byte]bool{}}
+	f.Stage = lanes.New(lanes.Config{
+		Ranks: func() []tables.Rank {
+			return []tables.Rank{{Name: "urgent", Share: 0.7, Target: time.Minute}, {Name: "bulk", Share: 0.3, Target: time.Minute}}
+		},
+		Struck: func(_ time.Time, fp [32]byte) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.struck[fp]
+		},
+		Strike: func(_ time.Time, fp [32]byte, server string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.struck[fp] = true
+			f.strikes = append(f.strikes, server)
+		},
+		Seed: 1, Now: f.Now,
+	})
+	t.Cleanup(f.Close)
+	return f
+}
+
+func keyed(b *backend, revision uint64, slots ...*peerpb.Range) *peerpb.Lane {
+	return &peerpb.Lane{Name: "cat/s1", Pool: "cat", Revision: revision, Slots: slots, Servers: servers(b)}
+}
+
+func unkeyed(bs ...*backend) *peerpb.Lane {
+	return &peerpb.Lane{Name: "cut/a1/0", Pool: "cut", Revision: 1, Servers: servers(bs...)}
+}
+
+func servers(bs ...*backend) (out []*peerpb.Server) {
+	for i, b := range bs {
+		out = append(out, &peerpb.Server{Name: string(rune('a' + i)), Address: b.addr.String(), Slots: 3})
+	}
+	return out
+}
+
+func request(lane, id string) *work.Request {
+	return &work.Request{
+		ID: id, Lane: lane, Pool: lane[:3], Slot: 1, Token: 5, Rank: "urgent", Route: "r", Retry: true,
+		Method: "POST", URI: "/", Deadline: time.Now().Add(10 * time.Minute), Fingerprint: [32]byte{1},
+	}
+}
+
+func (f *fixture) do(req *work.Request) error {
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	_, err := f.Do(ctx, req)
+	return err
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+func expect(t *testing.T, err error, reason string) {
+	t.Helper()
+	if e := result.From(err); err == nil || e.Reason != reason || e.Verdict != result.NotRun {
+		t.Errorf("%v, want %s", err, reason)
+	}
+}
+
+// Guards against a send without the right: after the lease, for a slot that is not held, for a newer token, or for a
+// lane of another instance. Unkeyed lanes need no lease.
+func TestLease(t *testing.T) {
+	b := newBackend(t, func(*fasthttp.RequestCtx) {})
+	f := newFixture(t)
+	held := &peerpb.Range{First: 0, Last: 1, Token: 5}
+	f.Update(f.Now(), []*peerpb.Lane{keyed(b, 1, held), unkeyed(b)}, f.Now().Add(time.Second))
+	if err := f.do(request("cat/s1", "ok")); err != nil {
+		t.Fatal(err)
+	}
+	newer, slot := request("cat/s1", "t"), request("cat/s1", "s")
+	newer.Token, slot.Slot = 6, 2
+	expect(t, f.do(newer), lanes.ReasonStale)
+	expect(t, f.do(slot), lanes.ReasonStale)
+	expect(t, f.do(request("cat/s2", "l")), lanes.ReasonStale)
+	f.Add(time.Second)
+	expect(t, f.do(request("cat/s1", "late")), lanes.ReasonLapsed)
+	if err := f.do(request("cut/a1/0", "unkeyed")); err != nil {
+		t.Errorf("unkeyed lane after the lease: %v", err)
+	}
+	if n := b.total.Load(); n != 2 {
+		t.Errorf("%d requests reached the server, want 2", n)
+	}
+}
+
+// Guards against a release that is confirmed while a request of the removed slot runs, and against one that waits being
+// sent after the removal.
+func TestRelease(t *testing.T) {
+	hold := make(chan struct{})
+	b := newBackend(t, func(*fasthttp.RequestCtx) { <-hold })
+	f := newFixture(t)
+	until := f.Now().Add(time.Hour)
+	f.Update(f.Now(), []*peerpb.Lane{keyed(b, 1, &peerpb.Range{First: 0, Last: 1, Token: 5})}, until)
+	var wg conc.WaitGroup
+	var failed atomic.Int32
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		wg.Go(func() {
+			if err := f.do(request("cat/s1", id)); err != nil {
+				expect(t, err, lanes.ReasonStale)
+				failed.Add(1)
+			}
+		})
+	}
+	// A cold server runs one request at first; the others wait.
+	eventually(t, "nothing runs", func() bool { return b.running.Load() == 1 })
+	f.Update(f.Now(), []*peerpb.Lane{keyed(b, 2, &peerpb.Range{First: 0, Last: 0, Token: 5})}, until)
+	if r := f.Released(); len(r) != 0 {
+		t.Errorf("released %v while a request runs", r)
+	}
+	eventually(t, "waiting requests were not refused", func() bool { return failed.Load() == 3 })
+	close(hold)
+	wg.Wait()
+	if r := f.Released(); len(r) != 1 || r[0].GetRevision() != 2 {
+		t.Errorf("released %v", r)
+	}
+	f.Update(f.Now(), nil, until)
+	if r := f.Released(); len(r) != 1 || r[0].GetLane() != "cat/s1" || r[0].GetRevision() != 2 {
+		t.Errorf("removed lane: released %v", r)
+	}
+	if b.total.Load() != 1 {
+		t.Errorf("%d requests reached the server", b.total.Load())
+	}
+}
+
+// Guards against more concurrent requests than the server has slots, and against more connections than twice as many.
+func TestConcurrency(t *testing.T) {
+	b := newBackend(t, func(*fasthttp.RequestCtx) { time.Sleep(time.Millisecond) })
+	f := newFixture(t)
+	f.Update(f.Now(), []*peerpb.Lane{unkeyed(b)}, f.Now())
+	var wg conc.WaitGroup
+	for range 40 {
+		wg.Go(func() {
+			for range 5 {
+				if err := f.do(request("cut/a1/0", "r")); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if n := b.max.Load(); n != 3 {
+		t.Errorf("%d requests at the same time, want 3", n)
+	}
+	if n := b.open.Load(); n > 6 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// Guards against bulk work that is served before urgent work, and against a cancelled request that is sent.
+func TestQueue(t *testing.T) {
+	hold := make(chan struct{})
+	var mu sync.Mutex
+	var order []string
+	b := newBackend(t, func(c *fasthttp.RequestCtx) {
+		<-hold
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, string(c.Request.Header.Peek("Rank")))
+	})
+	f := newFixture(t)
+	f.Update(f.Now(), []*peerpb.Lane{unkeyed(b)}, f.Now())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = f.do(request("cut/a1/0", "first")) })
+	eventually(t, "nothing runs", func() bool { return b.running.Load() == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	var gone conc.WaitGroup
+	gone.Go(func() {
+		_, err := f.Do(ctx, request("cut/a1/0", "gone"))
+		expect(t, err, lanes.ReasonCanceled)
+	})
+	for _, rank := range []string{"bulk", "urgent"} {
+		req := request("cut/a1/0", rank)
+		req.Rank = rank
+		queued := f.queued()
+		wg.Go(func() { _ = f.do(req) })
+		eventually(t, "not queued", func() bool { return f.queued() > queued+0.5 })
+	}
+	cancel()
+	gone.Wait()
+	close(hold)
+	wg.Wait()
+	if !slices.Equal(order, []string{"urgent", "urgent", "bulk"}) {
+		t.Errorf("served %v", order)
+	}
+}
+
+// queued returns how much is queued or running, by the load that one second adds to the report.
+func (f *fixture) queued() float64 {
+	f.Reports(f.Now())
+	return f.Reports(f.Add(time.Second))[0].GetLoad()
+}
+
+// Guards against a request that crashes servers being run beside others, and against its strikes not being recorded.
+func TestStrike(t *testing.T) {
+	var beside atomic.Int32
+	var b *backend
+	b = newBackend(t, func(c *fasthttp.RequestCtx) {
+		if string(c.Request.Header.Peek(work.RequestID)) == "crash" {
+			raise(&beside, b.running.Load())
+			_ = c.Conn().Close()
+		}
+		time.Sleep(time.Millisecond)
+	})
+	f := newFixture(t)
+	f.Update(f.Now(), []*peerpb.Lane{unkeyed(b)}, f.Now())
+	for range 20 {
+		if err := f.do(request("cut/a1/0", "warm")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if e := result.From(f.do(request("cut/a1/0", "crash"))); e.Verdict != result.MayHaveRun {
+		t.Errorf("crash: %v", e)
+	}
+	if !slices.Equal(f.strikes, []string{"a"}) {
+		t.Fatalf("strikes %v", f.strikes)
+	}
+	beside.Store(0)
+	var wg conc.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			req := request("cut/a1/0", "other")
+			req.Fingerprint = [32]byte{2}
+			if err := f.do(req); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Go(func() { _ = f.do(request("cut/a1/0", "crash")) })
+	wg.Wait()
+	if beside.Load() != 1 {
+		t.Errorf("%d requests beside a struck one, itself included", beside.Load())
+	}
+}
+
+// Guards against a refusal that is not sent to another server, a second send of a request that may have run, and a
+// server that says it is leaving being given more work.
+func TestRefusal(t *testing.T) {
+	leaving := newBackend(t, func(c *fasthttp.RequestCtx) {
+		c.SetStatusCode(503)
+		c.Response.Header.Set("Verdict", "not-run")
+		c.Response.Header.Set("Leaving", "true")
+	})
+	good := newBackend(t, func(*fasthttp.RequestCtx) {})
+	f := newFixture(t)
+	f.Update(f.Now(), []*peerpb.Lane{unkeyed(leaving)}, f.Now())
+	expect(t, f.do(request("cut/a1/0", "no budget yet")), "server-refused")
+	f.Update(f.Now(), []*peerpb.Lane{unkeyed(leaving, good)}, f.Now())
+	for range 9 {
+		if err := f.do(request("cut/a1/0", "r")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if leaving.total.Load() != 1 {
+		t.Errorf("%d requests to a leaving server", leaving.total.Load())
+	}
+	f.Add(31 * time.Second)
+	for range 20 {
+		if err := f.do(request("cut/a1/0", "r")); err != nil {
+			t.Errorf("refused once, with a retry in the budget: %v", err)
+		}
+	}
+	if leaving.total.Load() != 2 {
+		t.Errorf("%d requests to a server that was leaving, want a second one after a while", leaving.total.Load())
+	}
+	if r := f.Reports(f.Now()); len(r) != 2 || !r[0].GetLeaving() || r[1].GetLeaving() {
+		t.Errorf("reports %v", r)
+	}
+}
--- a/internal/peer/pass/pass.go
+++ b/internal/peer/pass/pass.go
@@ -103,7 +103,20 @@
 	if err != nil {
 		return work.Answer{}, err
 	}
-	return p.to(ctx, req, t)
+	a, err := p.to(ctx, req, t)
+	if err != nil && req.Hops == 0 && unserved(err) {
+		if t, ok := p.view.Elsewhere(req.Pool, key); ok {
+			return p.to(ctx, req, t)
+		}
+	}
+	return a, err
+}
+
+// unserved reports whether the lane's servers could not take work that certainly did not run. A full queue is not
+// such a case: a flood must not spill over the link between regions.
+func unserved(err error) bool {
+	e := result.From(err)
+	return e.Verdict == result.NotRun && (e.Reason == lanes.ReasonServers || e.Reason == lanes.ReasonFrozen)
 }
 
 // to sends req to the target, and on to its fallbacks while nobody can be reached.
--- a/internal/place/view/spread.go
+++ b/internal/place/view/spread.go
@@ -39,22 +39,30 @@
 }
 
 // serving returns the data centre that serves an unkeyed pool for instances of dc: the own one if it has servers,
-// else, if the pool permits it, one with servers and instances, of the own region if possible.
+// else another one if the pool permits it.
 func serving(t *tables.Tables, p *tables.Pool, dc string, peers map[string][]netip.AddrPort) string {
-	usable := func(name string) bool {
-		return slices.ContainsFunc(p.Servers, func(s tables.Server) bool { return s.DC == name && !s.Leaving })
-	}
-	if usable(dc) {
+	switch {
+	case staffed(p, dc):
 		return dc
-	}
-	if !p.Remote {
+	case p.Remote:
+		return abroad(t, p, dc, peers)
+	default:
 		return ""
 	}
+}
+
+// staffed reports whether the pool has servers in dc that stay.
+func staffed(p *tables.Pool, dc string) bool {
+	return slices.ContainsFunc(p.Servers, func(s tables.Server) bool { return s.DC == dc && !s.Leaving })
+}
+
+// abroad returns another data centre with servers and instances, of the own region if possible.
+func abroad(t *tables.Tables, p *tables.Pool, dc string, peers map[string][]netip.AddrPort) string {
 	var near, far string
 	for _, r := range t.Regions {
 		own := slices.Contains(r.DCs, dc)
 		for _, name := range r.DCs {
-			if !usable(name) || len(peers[name]) == 0 {
+			if name == dc || !staffed(p, name) || len(peers[name]) == 0 {
 				continue
 			}
 			if own && near == "" {
--- a/internal/place/view/view.go
+++ b/internal/place/view/view.go
@@ -278,6 +278,22 @@
 	return p.targets[pick(p.lanes, id)], nil
 }
 
+// Elsewhere returns a target in another data centre for a request to an unkeyed pool whose local servers cannot take
+// it. ok is false if the pool does not permit that or no other data centre serves it.
+func (v *View) Elsewhere(name, id string) (t Target, ok bool) {
+	s := v.state.Load()
+	p := s.pools[name]
+	if p == nil || p.Keyed || !p.Remote || p.dc != v.dc {
+		return t, false
+	}
+	dc := abroad(s.tables, p.Pool, v.dc, s.peers)
+	if dc == "" {
+		return t, false
+	}
+	t, err := v.away(s, Target{Pool: name, DC: dc}, id)
+	return t, err == nil
+}
+
 // target returns the target of a lane of an unkeyed pool in the own data centre.
 func (v *View) target(s *state, p *pool, lane string) Target {
 	order := rendezvous(s.members, lane, fallbacks+1)
--- a/internal/place/view/view_test.go
+++ b/internal/place/view/view_test.go
@@ -115,6 +115,9 @@
 	if tg, err := v.Locate("away", "id"); err != nil || tg.DC != "b1" || tg.Dispatcher != far || tg.Lane != "" {
 		t.Errorf("remote pool: %+v, %v", tg, err)
 	}
+	if tg, ok := v.Elsewhere("cut", "id"); ok {
+		t.Errorf("another data centre without servers: %+v", tg)
+	}
 	if _, err := v.Locate("home", "id"); result.From(err).Reason != view.ReasonServers {
 		t.Errorf("pool that permits no other data centre: %v", err)
 	}
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -98,9 +98,9 @@
 		if err != nil {
 			return false, err
 		}
-		err = c.exchange(ctx, req, resp, until)
+		reuse, err := c.exchange(ctx, req, resp, until)
 		sent = c.sent // once put back, the connection belongs to another request
-		p.put(c, err == nil && !resp.ConnectionClose() && !req.ConnectionClose())
+		p.put(c, reuse && !resp.ConnectionClose() && !req.ConnectionClose())
 		// An idle connection may have been closed by the server between the check and the write. As no byte was
 		// accepted, the request certainly did not run and goes out on another connection.
 		if err == nil || sent || fresh || ctx.Err() != nil || errors.Is(err, ErrLate) {
@@ -109,17 +109,15 @@
 	}
 }
 
-func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, until time.Time) error {
+// exchange sends req and reads the answer. reuse reports whether the connection may carry another request.
+func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, until time.Time) (reuse bool, err error) {
 	c.sent, c.until = false, until
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
-	err := c.talk(ctx, req, resp)
-	if !stop() {
-		// The deadline set by the function above would hit the next request on this connection.
-		return errors.CombineErrors(err, ctx.Err())
-	}
-	return err
+	err = c.talk(ctx, req, resp)
+	// Once ctx has ended, its function may set the deadline at any moment, which would hit the next request.
+	return stop() && err == nil, err
 }
 
 func (c *conn) talk(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
