--- a/internal/stand/load/load.go
+++ b/internal/stand/load/load.go
@@ -66,7 +66,7 @@
 // arrivals starts the requests of one kind at their times. A late wake-up delays the sending and is part of the
 // latency, which counts from the planned time.
 func (r *runner) arrivals(ctx context.Context, kind int) {
-	p := newPlan(&r.Settings, &r.kinds[kind], kind)
+	p := newPlan(&r.Settings, &r.kinds[kind], kind, r.start)
 	for n := uint64(0); ; n++ {
 		at := p.next()
 		if at >= r.Duration || !sleep(ctx, time.Until(r.start.Add(at))) {
--- a/internal/stand/load/plan.go
+++ b/internal/stand/load/plan.go
@@ -14,6 +14,7 @@
 	cfg         *Settings
 	kind        *Kind
 	stream      uint64
+	run         int64 // start of the run
 	random      *rand.Rand
 	zipf        *rand.Zipf
 	at          time.Duration
@@ -28,8 +29,8 @@
 	bodySize = 200 // of an order, in bytes
 )
 
-func newPlan(cfg *Settings, k *Kind, stream int) *plan {
-	p := &plan{cfg: cfg, kind: k, stream: uint64(stream), random: rand.New(rand.NewPCG(cfg.Seed, uint64(stream)))}
+func newPlan(cfg *Settings, k *Kind, stream int, run time.Time) *plan {
+	p := &plan{cfg: cfg, kind: k, stream: uint64(stream), run: run.UnixNano(), random: rand.New(rand.NewPCG(cfg.Seed, uint64(stream)))}
 	perSecond := k.Capacity * cfg.Scale / cfg.Service.Seconds()
 	p.base, p.flood = k.Load*perSecond, k.Load*perSecond
 	if k.Flood == cfg.Scenario {
@@ -66,7 +67,8 @@
 }
 
 func (p *plan) request(at time.Duration, n uint64) *request {
-	k, id := p.kind, fmt.Sprintf("%s-%d-%d", p.kind.Name, p.cfg.Seed, n)
+	// Runs on one system must not repeat each other's identities, whatever the seed.
+	k, id := p.kind, fmt.Sprintf("%s-%x-%d", p.kind.Name, p.run, n)
 	q := &request{kind: k, at: at, path: k.Path, random: rand.New(rand.NewPCG(p.cfg.Seed, p.stream<<32|n))}
 	if p.zipf != nil {
 		// Keys are shifted over the key space, so that other keys are hot from time to time.
