--- a/internal/oper/cmds/cmds_test.go
+++ b/internal/oper/cmds/cmds_test.go
@@ -90,9 +90,22 @@
 	}
 }
 
-// TestExamples guards the example files against tables that can no longer be published.
+// TestExamples guards the example files against tables that can no longer be published and against sizes other than
+// those of the design page.
 func TestExamples(t *testing.T) {
-	for _, dir := range []string{"skyggevaev", "association"} {
+	for dir, sizes := range map[string]map[string]int{
+		"skyggevaev":  {"catalogue": 20, "cutting": 13, "deposits": 8},
+		"association": {"availability": 14, "settlements": 8, "bookings": 8},
+	} {
+		data, err := os.ReadFile(examples + dir + "/pools.jsonc")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for pool, n := range sizes {
+			if got := strings.Count(string(data), `{"name": "`+pool+"-"); got != n {
+				t.Errorf("%s has %d servers of %s, want %d", dir, got, pool, n)
+			}
+		}
 		args := with(tableFiles(dir), "check", "--settings", examples+dir+"/settings.jsonc")
 		if code, out, errs := new(fake).run(args...); code != cmds.ExitDone || out+errs != "" {
 			t.Errorf("%s: exit %d\n%s", dir, code, errs)
--- a/internal/oper/events/line.go
+++ b/internal/oper/events/line.go
@@ -25,7 +25,7 @@
 			l.buf = append(l.buf, ' ')
 		}
 		l.buf = append(append(l.buf, rest[1:end-1]...), '=')
-		rest = rest[end+1:] // without the colon
+		rest = rest[min(end+1, len(rest)):] // without the colon
 		end = value(rest)
 		l.buf = appendValue(l.buf, rest[:end])
 		rest = rest[min(end+1, len(rest)):] // without the comma or brace
--- a/internal/oper/pubsvc/pubsvc_test.go
+++ b/internal/oper/pubsvc/pubsvc_test.go
@@ -173,11 +173,32 @@
 		}}}
 	}
 	j.add(snapshot(38))
+	if _, err := j.service().Current(t.Context()); err == nil {
+		t.Error("a snapshot that does not cover the records trimmed was used")
+	}
+	j.add(snapshot(39))
+	for range 100 {
+		j.add(&record.Record{})
+	}
 	j.add(publish(12, "y", 8))
-	j.add(snapshot(41))
+	for range 100 {
+		j.add(&record.Record{})
+	}
 	c, err := j.service().Current(t.Context())
-	if err != nil || c.Version != 42 || c.Offset() != 43 {
-		t.Errorf("read version %d up to %d: %v", c.Version, c.Offset(), err)
+	if err != nil || c.Version != 143 || c.Offset() != 243 {
+		t.Fatalf("read version %d up to %d: %v", c.Version, c.Offset(), err)
+	}
+	// Of two snapshots the newest is taken, and one that claims records after itself is not.
+	j.add(snapshot(200))
+	j.add(snapshot(1000))
+	reads, s := 0, j.service()
+	read := s.Read
+	s.Read = func(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (logsvc.Batch, error) {
+		reads++
+		return read(ctx, stream, from, wait, limit)
+	}
+	if c, err = s.Current(t.Context()); err != nil || c.Version != 12 || c.Offset() != 245 || reads > 40 {
+		t.Fatalf("read version %d up to %d in %d reads: %v", c.Version, c.Offset(), reads, err)
 	}
 	if p, err := j.service().Version(t.Context(), 12); err != nil || p.ID != "x" {
 		t.Error(p.ID, err)
--- a/internal/oper/pubsvc/reader.go
+++ b/internal/oper/pubsvc/reader.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	readLimit   = 256 // records a read
+	readLimit   = 32 // records a read; tables of 10,000 servers take about 2 MB
+	window      = 16 // records at the end of a stream that are first searched for a snapshot
 	readTimeout = 5 * time.Second
 )
 
@@ -33,6 +34,7 @@
 type reader struct {
 	svc    *Service
 	stream string
+	whole  bool // start as far back as the stream allows
 	offset func() uint64
 	apply  func(offset uint64, rec *record.Record)
 	adopt  func(s *record.Snapshot) bool
@@ -41,7 +43,7 @@
 // config returns a reader of the config stream; seen gets each publication that the fold accepts.
 func (s *Service) config(c *fold.Config, seen func(fold.Publication)) *reader {
 	return &reader{
-		svc: s, stream: configStream, offset: c.Offset,
+		svc: s, stream: configStream, whole: seen != nil, offset: c.Offset,
 		apply: func(offset uint64, rec *record.Record) {
 			if c.Apply(offset, rec, valid) == fold.Applied && seen != nil {
 				seen(c.Publication)
@@ -77,7 +79,7 @@
 		}
 	}
 	for {
-		b, err := r.read(ctx, r.offset()+1)
+		b, err := r.read(ctx, r.offset()+1, readLimit)
 		if err != nil {
 			return err
 		}
@@ -96,45 +98,67 @@
 	}
 }
 
-func (r *reader) read(ctx context.Context, from uint64) (logsvc.Batch, error) {
+func (r *reader) read(ctx context.Context, from uint64, limit int) (logsvc.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return r.svc.Read(ctx, r.stream, from, 0, readLimit)
+	return r.svc.Read(ctx, r.stream, from, 0, limit)
 }
 
-// begin finds the snapshot to start from when the oldest records have been trimmed.
+// begin finds the state to start from: the newest usable snapshot, so that a long stream need not be read, or the
+// oldest, or none if nothing has been trimmed.
 func (r *reader) begin(ctx context.Context) error {
-	for from := uint64(1); ; {
-		b, err := r.read(ctx, from)
+	b, err := r.read(ctx, 1, 1)
+	if err != nil {
+		return err
+	}
+	if r.whole && b.First <= 1 {
+		return nil
+	}
+	for step, end := uint64(window), b.Next; end > b.First; step *= 4 {
+		start := b.First
+		if !r.whole && end-b.First > step {
+			start = end - step
+		}
+		snapshot, err := r.find(ctx, start, end)
 		if err != nil {
 			return err
 		}
-		if b.First <= 1 {
-			return nil
-		}
-		if len(b.Records) == 0 && from < b.First && b.First < b.Next {
-			from = b.First
-			continue
-		}
-		if len(b.Records) == 0 {
-			return fmt.Errorf("stream %q is trimmed below offset %d and holds no snapshot that covers the loss", r.stream, b.First)
-		}
-		if r.adoptOne(b) {
+		if snapshot != nil && r.adopt(snapshot) {
 			return nil
 		}
-		from = b.Records[len(b.Records)-1].Offset + 1
+		end = start
+	}
+	if b.First <= 1 {
+		return nil
 	}
+	return fmt.Errorf("stream %q is trimmed below offset %d and holds no snapshot that covers the loss", r.stream, b.First)
 }
 
-// adoptOne starts the fold from the first usable snapshot of a batch.
-func (r *reader) adoptOne(b logsvc.Batch) bool {
-	for _, rec := range b.Records {
-		sn := fold.Decode(rec.Data).GetSnapshot()
-		if sn != nil && fold.Covers(sn.GetAsof(), b.First) && r.adopt(sn) {
-			return true
+// find returns the newest usable snapshot among the records from start on and before end, or the oldest for a reader
+// of the whole stream, or nil.
+func (r *reader) find(ctx context.Context, start, end uint64) (found *record.Snapshot, err error) {
+	for start < end {
+		b, err := r.read(ctx, start, readLimit)
+		if err != nil {
+			return nil, err
 		}
+		next := max(start, b.First)
+		for _, rec := range b.Records {
+			next = rec.Offset + 1
+			sn := fold.Decode(rec.Data).GetSnapshot()
+			if sn == nil || rec.Offset >= end || sn.GetAsof() >= rec.Offset || !fold.Covers(sn.GetAsof(), b.First) {
+				continue
+			}
+			if found == nil || !r.whole {
+				found = sn
+			}
+		}
+		if next == start || r.whole && found != nil {
+			break
+		}
+		start = next
 	}
-	return false
+	return found, nil
 }
 
 // attempts bounds how often a reader starts anew when trimming overtakes it.
@@ -163,6 +187,13 @@
 // Version returns one publication that the log still holds; 0 stands for the version in force.
 func (s *Service) Version(ctx context.Context, version uint64) (fold.Publication, error) {
 	var found fold.Publication
+	if version == 0 {
+		c, err := s.Current(ctx)
+		if err != nil {
+			return found, err
+		}
+		return c.Publication, nil
+	}
 	c, err := s.history(ctx, func(p fold.Publication) {
 		if p.Version == version {
 			found = p
@@ -171,8 +202,6 @@
 	switch {
 	case err != nil:
 		return found, err
-	case version == 0:
-		return c.Publication, nil
 	case found.Version == 0:
 		return found, &ErrVersion{Version: version, Current: c.Version}
 	}
