Reject damaged assignments and states in the fold

Cause: an Assign could name any token, up to one that no later record exceeds, and a Seize then lowered it; its yield time could overflow.

Change: a token has to be below that of its record, a yield time at most a year, all pools together at most 8 Mi slots, and a publication needs an id. Adopt rejects what no stream can have led to and what is lower than the present state.

--- a/internal/place/fold/config.go
+++ b/internal/place/fold/config.go
@@ -52,7 +52,7 @@
 	if p.GetBase() != c.Version {
 		return Stale
 	}
-	if valid != nil && valid(p.GetRoutes(), p.GetPools()) != nil {
+	if p.GetId() == "" || valid != nil && valid(p.GetRoutes(), p.GetPools()) != nil {
 		return Invalid
 	}
 	c.Publication = Publication{Version: offset, ID: p.GetId(), Routes: p.GetRoutes(), Pools: p.GetPools()}
@@ -88,9 +88,9 @@
 }
 
 // Adopt replaces the state by s, the fold of all records up to asof. It reports false, and changes nothing,
-// when the fold has already passed asof.
+// when the fold has already passed asof or s is nil or damaged: a version is never replaced by a lower one.
 func (c *Config) Adopt(asof uint64, s *record.Config) bool {
-	if !c.jump(asof) {
+	if s == nil || s.GetVersion() > asof || s.GetVersion() < c.Version || !c.jump(asof) {
 		return false
 	}
 	c.Publication = Publication{Version: s.GetVersion(), ID: s.GetId(), Routes: s.GetRoutes(), Pools: s.GetPools()}
--- a/internal/place/fold/place.go
+++ b/internal/place/fold/place.go
@@ -145,11 +145,14 @@
 	if out := p.admit(a.GetDc(), a.GetPool(), a.GetTerm(), a.GetBase()); out != Applied {
 		return out
 	}
-	if a.GetSlots() == 0 || a.GetSlots() > maxSlots || a.GetYield() < 0 {
+	if a.GetSlots() == 0 || a.GetSlots() > maxSlots || a.GetYield() < 0 || a.GetYield() > maxYield {
 		return Invalid
 	}
 	slots := slices.Clone(p.pools[a.GetPool()])
 	if slots == nil {
+		if p.total()+int(a.GetSlots()) > maxTotal {
+			return Invalid
+		}
 		slots = make([]Slot, a.GetSlots())
 	}
 	if len(slots) != int(a.GetSlots()) {
@@ -165,10 +168,19 @@
 	return Applied
 }
 
-// change applies ch to slots. It reports false if ch reaches outside them, touches a slot with another home or
-// would lower a token.
+// total returns the number of slots of all pools.
+func (p *Place) total() int {
+	n := 0
+	for _, slots := range p.pools {
+		n += len(slots)
+	}
+	return n
+}
+
+// change applies ch to slots. It reports false if ch reaches outside them, touches a slot with another home,
+// would lower a token, or names a token that a later record of the slot could not exceed.
 func change(slots []Slot, ch *record.Change, dc string, offset uint64) bool {
-	if ch.GetOwner() == "" || ch.GetFirst() > ch.GetLast() || int(ch.GetLast()) >= len(slots) {
+	if ch.GetOwner() == "" || ch.GetFirst() > ch.GetLast() || int(ch.GetLast()) >= len(slots) || ch.GetToken() >= Token(offset) {
 		return false
 	}
 	next := Slot{DC: dc, Owner: ch.GetOwner(), Token: token(ch, offset)}
--- a/internal/place/fold/state.go
+++ b/internal/place/fold/state.go
@@ -57,51 +57,108 @@
 	return out
 }
 
-// maxSlots bounds the memory that a damaged record can ask for.
-const maxSlots = 1 << 20
+const (
+	// maxSlots and maxTotal, of all pools, bound the memory that a damaged record can ask for.
+	maxSlots = 1 << 20
+	maxTotal = 1 << 23
+	// maxYield, in milliseconds, keeps a yield time within time.Duration. One that overflows may be negative.
+	maxYield = int64(365 * 24 * time.Hour / time.Millisecond)
+)
 
 // Adopt replaces the state by s, the fold of all records up to asof. It reports false, and changes nothing,
-// when the fold has already passed asof or s is damaged.
+// when the fold has already passed asof or s is nil or damaged.
 func (p *Place) Adopt(asof uint64, s *record.Place) bool {
 	next := Place{cells: make(map[string]*Cell), pools: make(map[string][]Slot), subjects: make(map[subject]standing)}
+	if s == nil || !next.load(asof, s) || !next.follows(p) || !p.jump(asof) {
+		return false
+	}
+	p.cells, p.pools, p.subjects = next.cells, next.pools, next.subjects
+	return true
+}
+
+// load fills p from s. It reports false if no stream can have led to s at asof.
+func (p *Place) load(asof uint64, s *record.Place) bool {
 	for _, c := range s.GetCells() {
-		cell := &Cell{
-			Term: c.GetTerm(), Holder: c.GetHolder(), Successors: c.GetSuccessors(), Witnesses: c.GetWitnesses(), Ready: c.GetReady(),
-		}
-		for _, w := range c.GetEarlier() {
-			if cell.Earlier == nil {
-				cell.Earlier = make(map[uint64][]string)
-			}
-			cell.Earlier[w.GetTerm()] = w.GetIds()
+		if c.GetTerm() == 0 || c.GetTerm() > asof {
+			return false
 		}
-		next.cells[c.GetDc()] = cell
+		p.cells[c.GetDc()] = loadCell(c)
 	}
+	total := 0
 	for _, pool := range s.GetPools() {
-		slots, ok := expand(pool.GetRuns())
+		slots, ok := expand(pool.GetRuns(), asof, maxTotal-total)
 		if !ok {
 			return false
 		}
-		next.pools[pool.GetName()] = slots
+		total += len(slots)
+		p.pools[pool.GetName()] = slots
 		for _, v := range pool.GetVersions() {
-			next.subjects[subject{pool.GetName(), v.GetDc()}] = standing{
+			if v.GetVersion() > asof || v.GetYield() < 0 || v.GetYield() > maxYield {
+				return false
+			}
+			p.subjects[subject{pool.GetName(), v.GetDc()}] = standing{
 				v.GetVersion(), time.Duration(v.GetYield()) * time.Millisecond,
 			}
 		}
 	}
-	if !p.jump(asof) {
-		return false
+	return true
+}
+
+func loadCell(c *record.Cell) *Cell {
+	cell := &Cell{
+		Term: c.GetTerm(), Holder: c.GetHolder(), Successors: c.GetSuccessors(), Witnesses: c.GetWitnesses(), Ready: c.GetReady(),
+	}
+	for _, w := range c.GetEarlier() {
+		if cell.Earlier == nil {
+			cell.Earlier = make(map[uint64][]string)
+		}
+		cell.Earlier[w.GetTerm()] = w.GetIds()
+	}
+	return cell
+}
+
+// follows reports whether the state p can come after the state old: no term, version or token is lower, and no pool has
+// another number of slots.
+func (p *Place) follows(old *Place) bool {
+	for dc, c := range old.cells {
+		if p.Cell(dc).Term < c.Term {
+			return false
+		}
+	}
+	for sub, v := range old.subjects {
+		if p.subjects[sub].version < v.version {
+			return false
+		}
+	}
+	for name, slots := range old.pools {
+		next := p.pools[name]
+		if len(slots) > 0 && len(slots) != len(next) {
+			return false
+		}
+		for i := range slots {
+			if next[i].Token < slots[i].Token {
+				return false
+			}
+		}
 	}
-	p.cells, p.pools, p.subjects = next.cells, next.pools, next.subjects
 	return true
 }
 
-func expand(in []*record.Run) ([]Slot, bool) {
-	var slots []Slot
-	for _, r := range in {
-		if int(r.GetFirst()) != len(slots) || r.GetLast() < r.GetFirst() || r.GetLast() >= maxSlots {
+// expand returns the slots that runs describe, at most limit, with no token higher than asof allows.
+func expand(runs []*record.Run, asof uint64, limit int) ([]Slot, bool) {
+	if len(runs) == 0 {
+		return nil, true
+	}
+	n := runs[len(runs)-1].GetLast()
+	if n >= maxSlots || int(n) >= limit {
+		return nil, false
+	}
+	slots := make([]Slot, 0, n+1)
+	for _, r := range runs {
+		if int(r.GetFirst()) != len(slots) || r.GetLast() < r.GetFirst() || r.GetLast() > n || r.GetToken() > Token(asof) {
 			return nil, false
 		}
-		for i := r.GetFirst(); i <= r.GetLast(); i++ {
+		for range r.GetLast() - r.GetFirst() + 1 {
 			slots = append(slots, Slot{DC: r.GetDc(), Owner: r.GetOwner(), Token: r.GetToken()})
 		}
 	}
