--- /dev/null
+++ b/internal/flow/once/bench_test.go
@@ -0,0 +1,75 @@
+package once_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleycove/bramleycove/internal/flow/once"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// encoded returns an append of one claim and its outcome with an answer of the given size.
+func encoded(b *testing.B, n uint64, body int) []byte {
+	var id once.Identity
+	binary.BigEndian.PutUint64(id[:], n)
+	claim := fmt.Sprintf("instance-07-5f3a/%d/86400", n)
+	batch := &record.Batch{Records: []*record.Record{
+		{Kind: &record.Record_Claim{Claim: &record.Claim{Identity: id[:], Claim: claim, Instance: "instance-07-5f3a", At: int64(n / 100)}}},
+		{Kind: &record.Record_Done{Done: &record.Done{
+			Identity: id[:], Claim: claim, Verdict: uint32(result.Ran), Answer: &record.Answer{Status: 200, Body: make([]byte, body)},
+		}}},
+	}}
+	data, err := proto.Marshal(&record.Record{Kind: &record.Record_Batch{Batch: batch}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+// chunk is how many records are encoded before the timer starts: starting it takes longer than folding one record.
+const chunk = 1000
+
+// BenchmarkLedger measures the time to fold a claim with its outcome, and the memory that it retains, by the number of
+// claims within the window and by the size of the answers.
+func BenchmarkLedger(b *testing.B) {
+	for _, body := range []int{0, 1024} {
+		for _, n := range []uint64{10_000, 25_000, 50_000, 100_000} {
+			b.Run(fmt.Sprintf("answer=%d/claims=%d", body, n), func(b *testing.B) {
+				var grown uint64
+				for b.Loop() {
+					b.StopTimer()
+					before := heap()
+					led := once.New(once.Seams{Instance: "x"})
+					for i := uint64(0); i < n; i += chunk {
+						var data [chunk][]byte
+						for k := range data {
+							data[k] = encoded(b, i+uint64(k), body)
+						}
+						b.StartTimer()
+						for k := range data {
+							led.Apply(i+uint64(k)+1, data[k])
+						}
+						b.StopTimer()
+					}
+					grown = heap() - before
+					runtime.KeepAlive(led)
+					b.StartTimer()
+				}
+				b.ReportMetric(float64(grown)/float64(n), "B/claim")
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/claim")
+			})
+		}
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
