Space the balancing rounds of the planner

Cause: the churn of a round is bounded, but not that of a controller that asks often. Change: rounds that balance are at least 2 s apart, and slots are sorted only in a round that may move some.

--- a/internal/flow/once/ledger.go
+++ b/internal/flow/once/ledger.go
@@ -176,7 +176,8 @@
 	return refuse(reason, cause)
 }
 
-// Apply folds the record at offset. Records at or below the last offset folded are ignored.
+// Apply folds the record at offset. Records at or below the last offset folded are ignored. Records may be left out that
+// were trimmed before they could be read: they are older than any window, which is shorter than retention.
 func (l *Ledger) Apply(offset uint64, data []byte) {
 	rec := fold.Decode(data)
 	l.mu.Lock()
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -7,11 +7,17 @@
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 )
 
+// maxWait bounds the wait that a reader may ask for.
+const maxWait = 10 * time.Second
+
 // Read serves the records kept to other instances. It returns at most limit records from offset from on and waits up to
-// wait for the first. First in the answer is the oldest offset kept here, not in the log. It returns ErrStale when the
+// wait for the first; a limit of 0 means the default. First in the answer is the oldest offset kept here, not in the log. It returns ErrStale when the
 // tail has lost its contact with the log, and when it has not yet been used as a relay.
 func (t *Tail) Read(ctx context.Context, from uint64, wait time.Duration, limit int) (logsvc.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	if limit <= 0 {
+		limit = readLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(wait, maxWait))
 	defer cancel()
 	for {
 		batch, wake, err := t.look(from, limit)
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -35,6 +35,9 @@
 	stopRatio = 1.1
 	// roundShare is the part of all slots that one round may move for balance: one in roundShare.
 	roundShare = 50
+	// roundEvery is the least time between rounds that balance, so that the churn does not depend on how often the
+	// controller asks.
+	roundEvery = 2 * time.Second
 	// coolDown is how long a moved slot stays where it is unless its server is lost.
 	coolDown = time.Minute
 	// settle is how long a move counts as done although its slot still shows the old owner: a planned move waits for
@@ -52,7 +55,8 @@
 // Planner decides about one pool in one data centre and remembers its recent moves. The zero value is ready for use.
 // It is not safe for concurrent use.
 type Planner struct {
-	active bool // balancing started at startRatio and has not yet reached stopRatio
+	active bool      // balancing started at startRatio and has not yet reached stopRatio
+	last   time.Time // round that balanced
 	moved  map[uint32]moved
 }
 
@@ -70,6 +74,9 @@
 		return nil
 	}
 	out := p.mandatory(now, r)
+	if !p.last.IsZero() && now.Sub(p.last) < roundEvery {
+		return out
+	}
 	return p.balance(now, r, out)
 }
 
@@ -128,6 +135,9 @@
 	}
 	bound *= r.mean
 	p.active = false
+	if r.hottest(bound) == nil {
+		return out
+	}
 	r.sort()
 	budget := max(1, len(r.slots)/roundShare)
 	for left := budget; left > 0; {
@@ -143,7 +153,7 @@
 		r.shift(slot, src, to)
 		p.remember(now, slot, to.Name)
 		out = append(out, Move{Slot: slot, To: to.Name})
-		p.active = true
+		p.active, p.last = true, now
 		bound = stopRatio * r.mean
 		left--
 	}
