Probe the log earlier for a tail that follows a relay

Cause: contact that came from probes alone could be 3 s old before the next probe, and one lost probe made a relay refuse its readers. Change: such a tail probes after 2 s; one that reads the log itself keeps its long polls.

--- a/internal/flow/once/ledger_test.go
+++ b/internal/flow/once/ledger_test.go
@@ -332,7 +332,7 @@
 			if tk == nil {
 				return
 			}
-			time.Sleep(wait(1 + draw(1000)) / 4)
+			time.Sleep(wait(1+draw(1000)) / 4)
 			switch draw(4) {
 			case 0:
 				tk.Done(result.NotRun, nil)
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -99,7 +99,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.seams.Now()
-	recent := !t.contact.IsZero() && now.Sub(t.contact) < 2*pollWait
+	enough := 2 * probeEvery // leaves time for further probes after a lost one
+	if t.direct {
+		enough = 2 * pollWait // the age that contact reaches by long polls of an idle log
+	}
+	recent := !t.contact.IsZero() && now.Sub(t.contact) < enough
 	served := !t.served.IsZero() && now.Sub(t.served) < servedFor
 	return !recent && (needed || served)
 }
--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -75,6 +75,7 @@
 	sightings []sighting
 	served    time.Time
 	caught    bool
+	direct    bool // the last records came from the log itself
 }
 
 // sighting is an answer of the log: the read sent then showed that the stream ended before next.
@@ -222,6 +223,7 @@
 	if t.ring.next >= batch.Next {
 		t.caught = true
 	}
+	t.direct = src.Log
 	if src.Log {
 		t.sight(sighting{sent: sent, next: batch.Next})
 	} else if len(batch.Records) == 0 && len(t.sightings) > 0 && t.seams.Now().Sub(t.sightings[0].sent) > lagLimit {
