Wait for the dispatcher's verdict past the deadline and look up stale targets again

A request that expired in the dispatcher's queue reached its caller as 'may have run', because the entry instance gave up at the same moment. It now waits 100 ms longer on each hop. A stale target is retried when the view shows another one, not at any change of the view. Peers that could not be reached lately are tried last.

--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -45,12 +45,11 @@
 }
 
 // apply puts a definition and a lease into force.
-func (ln *lane) apply(now time.Time, def *peerpb.Lane, until time.Time) {
+func (ln *lane) apply(now time.Time, def *peerpb.Lane, until time.Time, fallback bool) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	ln.until, ln.removed = until, time.Time{}
+	ln.until, ln.removed, ln.fallback = until, time.Time{}, fallback
 	if ln.def != def {
-		ln.fallback = ln.fallback && until.IsZero()
 		ln.def = def
 		ln.setServers(def.GetServers())
 	}
@@ -117,6 +116,12 @@
 	return ln.fallback && (len(ln.running) > 0 || now.Sub(ln.used) < unused)
 }
 
+func (ln *lane) isFallback() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.fallback
+}
+
 // forget reports whether a removed lane has no requests left and its release was repeated long enough.
 func (ln *lane) forget(now time.Time) bool {
 	ln.mu.Lock()
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -100,7 +100,7 @@
 			delete(s.gone, def.GetName())
 			s.lanes[def.GetName()] = ln
 		}
-		ln.apply(now, def, until)
+		ln.apply(now, def, until, false)
 	}
 	for name, ln := range s.lanes {
 		if present[name] || ln.keepFallback(now) {
@@ -140,7 +140,10 @@
 	defer s.mu.RUnlock()
 	var out []*peerpb.ServerReport
 	for _, ln := range s.lanes {
-		out = append(out, ln.reports(now)...)
+		// The dispatcher of the lane reports; a fallback sees only a part.
+		if !ln.isFallback() {
+			out = append(out, ln.reports(now)...)
+		}
 	}
 	return out
 }
@@ -186,8 +189,7 @@
 	defer s.mu.Unlock()
 	if ln = s.lanes[name]; ln == nil {
 		ln = newLane(s, name)
-		ln.fallback = true
-		ln.apply(s.cfg.Now(), fallbackDef(name, servers), time.Time{})
+		ln.apply(s.cfg.Now(), fallbackDef(name, servers), time.Time{}, true)
 		s.lanes[name] = ln
 	}
 	return ln
--- a/internal/flow/lanes/lanes_test.go
+++ b/internal/flow/lanes/lanes_test.go
@@ -61,7 +61,10 @@
 }
 
 func raise(m *atomic.Int32, n int32) {
-	for old := m.Load(); n > old && !m.CompareAndSwap(old, n); old = m.Load() {
+	for old := m.Load(); n > old; old = m.Load() {
+		if m.CompareAndSwap(old, n) {
+			return
+		}
 	}
 }
 
--- a/internal/peer/pass/pass.go
+++ b/internal/peer/pass/pass.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +31,12 @@
 
 const (
 	// viewWait bounds the wait for a newer view after a stale target: heartbeats come every 300 ms.
-	viewWait = 700 * time.Millisecond
+	viewWait = 400 * time.Millisecond
+	// grace is how much longer than the dispatcher each sender waits, so that the dispatcher's verdict on a deadline,
+	// which is often "not run", arrives instead of being unknown. A round trip between regions takes 40 ms.
+	grace = 100 * time.Millisecond
+	// suspectFor is how long a peer that could not be reached is tried after the other candidates.
+	suspectFor = 500 * time.Millisecond
 	// unreachableRetry is the time to retry after when a dispatcher is lost: it is replaced in less than 3 s.
 	unreachableRetry = 2 * time.Second
 	// poolIdle is how long connections to a peer are kept that is not used.
@@ -49,7 +56,8 @@
 
 type peer struct {
 	*conns.Pool
-	used time.Time
+	used   time.Time
+	failed atomic.Int64 // when it last could not be reached, in nanoseconds of the Unix time
 }
 
 // New returns a Passer. do is the dispatcher stage of this instance; its errors are *result.Error.
@@ -61,55 +69,64 @@
 // are *result.Error. A target that proves stale is looked up once more in a newer view. ctx must end at
 // req.Deadline or earlier.
 func (p *Passer) Send(ctx context.Context, req *work.Request) (work.Answer, error) {
-	changed := p.view.Changed()
-	a, err := p.attempt(ctx, req)
-	if err == nil || !stale(err) {
-		return a, err
+	t, err := p.locate(req)
+	var a work.Answer
+	if err == nil {
+		a, err = p.to(ctx, req, t)
 	}
-	if !wait(ctx, changed) {
-		return a, err
+	switch {
+	case err == nil:
+		return a, nil
+	case stale(err):
+		next, ok := p.relocate(ctx, req, t)
+		// An unchanged target is worth another try only if the dispatcher answered: its own lease may have been
+		// older than the view of this instance.
+		if ok || result.From(err).Reason == lanes.ReasonStale && ctx.Err() == nil {
+			return p.to(ctx, req, next)
+		}
+	case req.Hops == 0 && unserved(err):
+		if t, ok := p.view.Elsewhere(req.Pool, req.ID); ok {
+			return p.to(ctx, req, t)
+		}
 	}
-	return p.attempt(ctx, req)
+	return a, err
 }
 
-// stale reports whether a newer view may lead to another result for a request that certainly did not run.
-func stale(err error) bool {
-	e := result.From(err)
-	if e.Verdict != result.NotRun {
-		return false
+func (p *Passer) locate(req *work.Request) (view.Target, error) {
+	key := req.Key
+	if key == "" {
+		key = req.ID
 	}
-	return e.Reason == lanes.ReasonStale || e.Reason == ReasonUnreachable || e.Reason == view.ReasonDispatcher
+	return p.view.Locate(req.Pool, key)
 }
 
-func wait(ctx context.Context, changed <-chan struct{}) bool {
-	t := time.NewTimer(viewWait)
-	defer t.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-t.C:
-		return false
-	case <-ctx.Done():
-		return false
+// relocate waits until the view shows another target than old. It reports false when that does not happen soon.
+func (p *Passer) relocate(ctx context.Context, req *work.Request, old view.Target) (view.Target, bool) {
+	timeout := time.NewTimer(viewWait)
+	defer timeout.Stop()
+	for {
+		changed := p.view.Changed()
+		t, err := p.locate(req)
+		if err == nil && (t.Dispatcher != old.Dispatcher || t.Lane != old.Lane || t.Token != old.Token) {
+			return t, true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return old, false
+		case <-ctx.Done():
+			return old, false
+		}
 	}
 }
 
-func (p *Passer) attempt(ctx context.Context, req *work.Request) (work.Answer, error) {
-	key := req.Key
-	if key == "" {
-		key = req.ID
-	}
-	t, err := p.view.Locate(req.Pool, key)
-	if err != nil {
-		return work.Answer{}, err
-	}
-	a, err := p.to(ctx, req, t)
-	if err != nil && req.Hops == 0 && unserved(err) {
-		if t, ok := p.view.Elsewhere(req.Pool, key); ok {
-			return p.to(ctx, req, t)
-		}
+// stale reports whether a newer view may lead to another result for a request that certainly did not run.
+func stale(err error) bool {
+	e := result.From(err)
+	if e.Verdict != result.NotRun {
+		return false
 	}
-	return a, err
+	return e.Reason == lanes.ReasonStale || e.Reason == ReasonUnreachable || e.Reason == view.ReasonDispatcher
 }
 
 // unserved reports whether the lane's servers could not take work that certainly did not run. A full queue is not
@@ -119,15 +136,19 @@
 	return e.Verdict == result.NotRun && (e.Reason == lanes.ReasonServers || e.Reason == lanes.ReasonFrozen)
 }
 
-// to sends req to the target, and on to its fallbacks while nobody can be reached.
-func (p *Passer) to(ctx context.Context, req *work.Request, t view.Target) (work.Answer, error) {
+// to sends req to the target, and on to its fallbacks while nobody can be reached. Peers that could not be reached
+// lately come last.
+func (p *Passer) to(ctx context.Context, req *work.Request, t view.Target) (a work.Answer, err error) {
 	req.Lane, req.Slot, req.Token = t.Lane, t.Slot, t.Token
-	a, err := p.hop(ctx, req, t.Dispatcher)
-	for _, next := range t.Fallbacks {
+	all := append([]netip.AddrPort{t.Dispatcher}, t.Fallbacks...)
+	if len(all) > 1 {
+		slices.SortStableFunc(all, func(a, b netip.AddrPort) int { return p.suspect(a) - p.suspect(b) })
+	}
+	for _, addr := range all {
+		a, err = p.hop(ctx, req, addr)
 		if err == nil || result.From(err).Reason != ReasonUnreachable || ctx.Err() != nil {
 			break
 		}
-		a, err = p.hop(ctx, req, next)
 	}
 	return a, err
 }
@@ -142,17 +163,53 @@
 	}
 	out := *req
 	out.Hops++
+	ctx, cancel := patient(ctx, req)
+	defer cancel()
 	h, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(h)
 	defer fasthttp.ReleaseResponse(resp)
 	encode(h, &out, time.Until(req.Deadline))
-	sent, err := p.pool(addr).Do(ctx, h, resp, time.Time{})
+	q := p.peer(addr)
+	sent, err := q.Do(ctx, h, resp, time.Time{})
 	if err != nil {
-		return work.Answer{}, failure(ctx, sent, err)
+		e := failure(ctx, sent, err)
+		if e.Reason == ReasonUnreachable {
+			q.failed.Store(time.Now().UnixNano())
+		}
+		return work.Answer{}, e
 	}
 	return decodeAnswer(resp)
 }
 
+// patient returns a context that is cancelled with ctx but outlasts its deadline by the grace of the hops ahead.
+func patient(ctx context.Context, req *work.Request) (context.Context, context.CancelFunc) {
+	extra := grace
+	if req.Lane == "" {
+		extra = 2 * grace // by way of another instance
+	}
+	out, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline.Add(extra))
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.Canceled {
+			cancel()
+		}
+	})
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
+// suspect returns 1 for a peer that could not be reached lately, else 0.
+func (p *Passer) suspect(addr netip.AddrPort) int {
+	p.mu.Lock()
+	q := p.peers[addr]
+	p.mu.Unlock()
+	if q != nil && time.Now().UnixNano()-q.failed.Load() < int64(suspectFor) {
+		return 1
+	}
+	return 0
+}
+
 // failure maps an error of the exchange to a verdict.
 func failure(ctx context.Context, sent bool, err error) *result.Error {
 	e := &result.Error{Verdict: result.MayHaveRun, Status: fasthttp.StatusGatewayTimeout, Reason: ReasonLost, Cause: err}
@@ -171,8 +228,8 @@
 	return e
 }
 
-// pool returns the connections to a peer. Those to peers that have not been used for a while are closed.
-func (p *Passer) pool(addr netip.AddrPort) *conns.Pool {
+// peer returns the connections to a peer. Those to peers that have not been used for a while are closed.
+func (p *Passer) peer(addr netip.AddrPort) *peer {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,7 +248,7 @@
 		p.peers[addr] = q
 	}
 	q.used = now
-	return q.Pool
+	return q
 }
 
 // Close closes the connections to other instances, those in use after their request.
