--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -58,6 +58,11 @@
 	initialCost = 0.01
 	// weight is the part of a new observation in the means. About 20 observations replace the old value.
 	weight = 0.1
+	// headroom is the part of a target up to which the expected answer time may rise. Under a flood every accepted
+	// request waits that long; the rest of the target takes up the variance of the service time.
+	headroom = 0.7
+	// gapWeight is smaller: a flood fills the queue up to the shortest gap seen lately, so the mean must be steady.
+	gapWeight = 0.02
 	// minShare is assumed for a rank without a guaranteed share.
 	minShare = 0.01
 	// minRetry is the shortest time to retry after that a refusal names.
@@ -115,7 +120,7 @@
 	c := &q.classes[rank]
 	limit := deadline.Sub(now)
 	if c.Target > 0 {
-		limit = min(limit, c.Target)
+		limit = min(limit, time.Duration(headroom*float64(c.Target)))
 	}
 	if over := q.estimate(rank) - limit; over > 0 && c.live > 0 || limit <= 0 {
 		return nil, max(over, minRetry), false
@@ -238,7 +243,7 @@
 		if c.gap == 0 {
 			c.gap = gap
 		}
-		c.gap += weight * (gap - c.gap)
+		c.gap += gapWeight * (gap - c.gap)
 	}
 	c.popped = now
 	if c.live == 0 {
