--- a/internal/flow/lanes/lanes_test.go
+++ b/internal/flow/lanes/lanes_test.go
@@ -97,6 +97,11 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{clock: &clock{now: time.Now()}, struck: map[[32]byte]bool{}}
+	f.start(t, f.Now)
+	return f
+}
+
+func (f *fixture) start(t *testing.T, now func() time.Time) {
 	f.Stage = lanes.New(lanes.Config{
 		Ranks: func() []tables.Rank {
 			return []tables.Rank{{Name: "urgent", Share: 0.7, Target: time.Minute}, {Name: "bulk", Share: 0.3, Target: time.Minute}}
@@ -112,10 +117,9 @@
 			f.struck[fp] = true
 			f.strikes = append(f.strikes, server)
 		},
-		Seed: 1, Now: f.Now,
+		Seed: 1, Now: now,
 	})
 	t.Cleanup(f.Close)
-	return f
 }
 
 func keyed(b *backend, revision uint64, slots ...*peerpb.Range) *peerpb.Lane {
@@ -371,3 +375,28 @@
 		t.Errorf("reports %v", r)
 	}
 }
+
+// Guards against requests piling up at a frozen server, and against a server that is never used again.
+func TestFrozen(t *testing.T) {
+	hold := make(chan struct{})
+	b := newBackend(t, func(*fasthttp.RequestCtx) { <-hold })
+	f := &fixture{}
+	f.start(t, time.Now)
+	f.Update(time.Now(), []*peerpb.Lane{unkeyed(b)}, time.Time{})
+	brief := func() error {
+		req := request("cut/a1/0", "r")
+		req.Deadline = time.Now().Add(150 * time.Millisecond)
+		return f.do(req)
+	}
+	for range 2 {
+		if e := result.From(brief()); e.Verdict != result.MayHaveRun || e.Reason != "server-timeout" {
+			t.Errorf("request at a frozen server: %v", e)
+		}
+	}
+	expect(t, brief(), lanes.ReasonFrozen)
+	if r := f.Reports(time.Now()); !r[0].GetFailing() {
+		t.Error("not reported as failing")
+	}
+	close(hold)
+	eventually(t, "not used again", func() bool { return f.do(request("cut/a1/0", "r")) == nil })
+}
--- a/internal/peer/pass/pass.go
+++ b/internal/peer/pass/pass.go
@@ -16,6 +16,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/view"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/server"
 )
 
 // Reasons of failed hops, as they appear in result.Error.
@@ -133,7 +134,10 @@
 // such a case: a flood must not spill over the link between regions.
 func unserved(err error) bool {
 	e := result.From(err)
-	return e.Verdict == result.NotRun && (e.Reason == lanes.ReasonServers || e.Reason == lanes.ReasonFrozen)
+	if e.Verdict != result.NotRun {
+		return false
+	}
+	return e.Reason == lanes.ReasonServers || e.Reason == lanes.ReasonFrozen || e.Reason == server.ReasonConnect
 }
 
 // to sends req to the target, and on to its fallbacks while nobody can be reached. Peers that could not be reached
--- a/internal/peer/pass/pass_test.go
+++ b/internal/peer/pass/pass_test.go
@@ -66,10 +66,14 @@
 }
 
 // backend answers each request with the headers of the server protocol in its body.
+// One with the path /hold waits until the test ends.
 func backend(tb testing.TB) netip.AddrPort {
 	ln, addr := listen(tb)
 	serve(tb, &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
 		h := &c.Request.Header
+		if string(c.Path()) == "/hold" {
+			<-tb.Context().Done()
+		}
 		c.Response.Header.SetBytesV(work.RequestID, h.Peek(work.RequestID))
 		_, _ = fmt.Fprintf(c, "%s %s pool=%s slot=%s token=%s rank=%s body=%s", h.Method(), h.RequestURI(),
 			h.Peek("Pool"), h.Peek("Slot"), h.Peek("Token"), h.Peek("Rank"), c.Request.Body())
@@ -219,3 +223,48 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a request that expired in the dispatcher's queue being reported as possibly run.
+func TestExpiredInQueue(t *testing.T) {
+	entry, _, _ := fleet(t)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	wg.Go(func() {
+		req := request("cat")
+		req.URI = "/hold" // a cold server runs one request at a time
+		_, _ = entry.Send(ctx, req)
+	})
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		req := request("cat")
+		req.Deadline = time.Now().Add(200 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+		_, err := entry.Send(ctx, req)
+		cancel()
+		if err == nil {
+			continue // came before the long one
+		}
+		if e := result.From(err); e.Verdict != result.NotRun || e.Reason != lanes.ReasonDeadline {
+			t.Errorf("expired: %v", err)
+		}
+		return
+	}
+	t.Error("never queued")
+}
+
+// Guards against an unkeyed pool without usable local servers being refused where another data centre may serve it.
+func TestElsewhere(t *testing.T) {
+	entry, _, _ := fleet(t)
+	ln, dead := listen(t)
+	_ = ln.Close()
+	local := *entry.Tables()
+	sv := local.Pools[1].Servers[0]
+	local.Pools = []tables.Pool{{Name: "cut", Remote: true, Servers: []tables.Server{{Name: "a", DC: "a1", Address: dead, Slots: 3}, sv}}}
+	entry.SetTables(&local)
+	for range 3 { // the third finds the local server frozen
+		if a, err := entry.Send(context.Background(), request("cut")); err != nil || a.Status != 200 {
+			t.Errorf("other data centre: %v", err)
+		}
+	}
+}
