Release ended lane revisions, as the controller expects, and take strikes by its rules

Released named the revision in force; the controller takes a release for the end of that revision, so it would have thought a dispatcher gone that still sends. It now names the revisions that were replaced or removed, once, when no request that needs them is in progress. A request with a strike takes turns with the others, unkeyed lanes are split as the controller does, and work is refused when all servers hold back for longer than the rank's target.

--- a/internal/edge/front/filter.go
+++ b/internal/edge/front/filter.go
@@ -59,15 +59,14 @@
 
 // quarantine refuses work that has crashed servers.
 func (f *Front) quarantine(x *call, next func() (work.Answer, error)) (work.Answer, error) {
-	if f.cfg.Check != nil && f.cfg.Check(x.start, x.Request.Fingerprint) {
-		return work.Answer{}, work.Refuse(ReasonQuarantine, quarantineRetry)
+	if f.cfg.Check != nil {
+		if wait, refused := f.cfg.Check(x.start, x.Request.Fingerprint); refused {
+			return work.Answer{}, work.Refuse(ReasonQuarantine, wait)
+		}
 	}
 	return next()
 }
 
-// quarantineRetry matches the time after which quarantined work gets a trial.
-const quarantineRetry = time.Minute
-
 // ledger claims work that must not repeat before it is run.
 func (f *Front) ledger(x *call, next func() (work.Answer, error)) (work.Answer, error) {
 	if x.Once == nil {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -37,8 +37,8 @@
 	Tables func() *tables.Tables
 	// Send runs a request. Its errors are *result.Error.
 	Send func(ctx context.Context, req *work.Request) (work.Answer, error)
-	// Check reports whether work with this fingerprint is quarantined. nil means that nothing is.
-	Check func(now time.Time, fingerprint [32]byte) bool
+	// Check reports whether work with this fingerprint is quarantined, and for how long. nil means that nothing is.
+	Check func(now time.Time, fingerprint [16]byte) (wait time.Duration, refused bool)
 	// Begin claims work that must not repeat. If finish is not nil, the claim was won: the work must be run once and
 	// finish called with its result. Otherwise answer is that of the first run, or err says why there is none.
 	// nil means that such work is refused.
--- a/internal/edge/route/route.go
+++ b/internal/edge/route/route.go
@@ -51,7 +51,8 @@
 		return m, malformed(ReasonKey)
 	}
 	m.Request.ReadRequest(h)
-	m.Request.Fingerprint = digest([]byte(m.Request.Method), []byte(path), m.Request.Body)
+	sum := digest([]byte(m.Request.Method), []byte(m.Request.URI), m.Request.Body)
+	copy(m.Request.Fingerprint[:], sum[:])
 	if r.Once != nil {
 		if m.Identity, ok = identity(r, h, path, caller); !ok {
 			return m, malformed(ReasonIdentity)
--- a/internal/flow/lanes/job.go
+++ b/internal/flow/lanes/job.go
@@ -18,7 +18,8 @@
 	ready chan outcome    // capacity 1; receives exactly once unless the job is withdrawn
 	entry *ranks.Entry[*job]
 	rank  int
-	alone bool // a server was lost while it ran this request
+	alone bool   // a server was lost while it ran this request
+	rev   uint64 // lane revision under which it runs
 
 	server  *backend // set while it runs
 	until   time.Time
@@ -58,9 +59,12 @@
 		e := result.From(err)
 		out, hold = classify(e), e.RetryAfter
 		if out == limit.Broken && e.Verdict == result.MayHaveRun {
-			ln.stage.cfg.Strike(now, j.req.Fingerprint, b.name)
+			ln.stage.cfg.Lost(now, b.name, j.req.Fingerprint)
 		}
 	}
+	if j.alone && out == limit.Done {
+		ln.stage.cfg.Succeeded(now, j.req.Fingerprint)
+	}
 	ln.finish(now, j, b, out, hold, reply.Leaving)
 	return reply.Answer, err
 }
--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -1,6 +1,8 @@
 package lanes
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,7 +32,9 @@
 	names    []string // rank names of the queue
 	queue    *ranks.Queue[*job]
 	alone    []*job // requests that lost a server before, in order of arrival
+	turn     int    // jobs that others may start before the next one that runs alone
 	running  map[*job]struct{}
+	ended    []uint64    // revisions that were replaced or removed and are not released yet
 	timer    *time.Timer // runs pump when a server that was held back can be used
 	rates    map[uint32]int
 	reported time.Time
@@ -48,14 +52,23 @@
 func (ln *lane) apply(now time.Time, def *peerpb.Lane, until time.Time, fallback bool) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	ln.until, ln.removed, ln.fallback = until, time.Time{}, fallback
 	if ln.def != def {
+		if removed := !ln.removed.IsZero(); ln.def != nil && !ln.fallback && !removed && ln.def.GetRevision() != def.GetRevision() {
+			ln.ended = append(ln.ended, ln.def.GetRevision())
+		}
 		ln.def = def
+		// A revision that is in force again must not be released.
+		ln.ended = slices.DeleteFunc(ln.ended, func(rev uint64) bool { return rev == def.GetRevision() })
 		ln.setServers(def.GetServers())
 	}
+	ln.until, ln.removed, ln.fallback = until, time.Time{}, fallback
+	for _, b := range ln.servers {
+		b.leaving = b.told || ln.stage.cfg.Leaving(b.name)
+	}
 	ln.setRanks(ln.stage.cfg.Ranks())
 	ln.refuse(now)
 	ln.pump(now)
+	ln.freed()
 }
 
 // setServers keeps the state of servers that are still the same process.
@@ -72,7 +85,7 @@
 			continue
 		}
 		b := ln.servers[i]
-		b.leaving = d.GetLeaving()
+		b.told, b.incarnation = d.GetLeaving(), max(b.incarnation, d.GetIncarnation())
 		next = append(next, b)
 		ln.servers = slices.Delete(ln.servers, i, i+1)
 	}
@@ -105,7 +118,11 @@
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.removed = now
+	if !ln.fallback {
+		ln.ended = append(ln.ended, ln.def.GetRevision())
+	}
 	ln.refuse(now)
+	ln.freed()
 }
 
 // keepFallback reports whether an unkeyed lane that no controller gave to this instance is still in use.
@@ -122,11 +139,11 @@
 	return ln.fallback
 }
 
-// forget reports whether a removed lane has no requests left and its release was repeated long enough.
-func (ln *lane) forget(now time.Time) bool {
+// forget reports whether a removed lane has no request in progress and no release to report.
+func (ln *lane) forget() bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	return len(ln.running) == 0 && now.Sub(ln.removed) >= goneFor
+	return len(ln.running) == 0 && len(ln.ended) == 0
 }
 
 func (ln *lane) close() {
@@ -166,17 +183,25 @@
 
 // token returns the token under which the lane holds the slot.
 func (ln *lane) token(slot uint32) (uint64, bool) {
-	for _, r := range ln.def.GetSlots() {
-		if slot >= r.GetFirst() && slot <= r.GetLast() {
-			return r.GetToken(), true
-		}
+	ranges := ln.def.GetSlots()
+	i, found := slices.BinarySearchFunc(ranges, slot, func(r *peerpb.Range, s uint32) int {
+		return cmp.Compare(r.GetFirst(), s)
+	})
+	if !found {
+		i--
+	}
+	if i < 0 || slot > ranges[i].GetLast() {
+		return 0, false
 	}
-	return 0, false
+	return ranges[i].GetToken(), true
 }
 
 // push queues a job or refuses it at once.
 func (ln *lane) push(now time.Time, j *job) error {
-	j.alone = ln.stage.cfg.Struck(now, j.req.Fingerprint)
+	var wait time.Duration
+	if j.alone, wait = ln.stage.cfg.Admit(now, j.req.Fingerprint); wait > 0 {
+		return work.Refuse(ReasonCrash, wait)
+	}
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.used = now
@@ -197,6 +222,9 @@
 		ln.rates[j.req.Slot]++
 	}
 	if j.alone {
+		if len(ln.alone) >= maxAlone {
+			return work.Refuse(ReasonQueue, time.Second)
+		}
 		ln.alone = append(ln.alone, j)
 	} else {
 		e, after, ok := ln.queue.Push(now, j.rank, j.req.Deadline, j)
@@ -209,6 +237,9 @@
 	return nil
 }
 
+// maxAlone bounds the requests that wait to run alone, since each of them empties a server.
+const maxAlone = 16
+
 // blocked refuses work that no server can take in useful time.
 func (ln *lane) blocked(now time.Time, j *job) error {
 	var wait time.Duration
@@ -229,6 +260,9 @@
 		return work.Refuse(ReasonServers, time.Second)
 	}
 	if frozen < usable {
+		if target := ln.stage.target(j.rank); target > 0 && wait > target {
+			return work.Refuse(ReasonHeld, wait)
+		}
 		return nil
 	}
 	// All are frozen: as many as the next trials can serve may wait if a trial comes soon.
@@ -290,6 +324,7 @@
 	if e == nil {
 		return false
 	}
+	ln.turn--
 	ln.start(now, e.Value, b)
 	return true
 }
@@ -305,7 +340,7 @@
 		j.until = ln.until
 	}
 	ln.account(now)
-	j.server, j.started = b, now
+	j.started, j.rev = now, ln.def.GetRevision()
 	b.limit.Start()
 	ln.running[j] = struct{}{}
 	j.ready <- outcome{server: b}
@@ -329,22 +364,46 @@
 		ln.queue.Observe(j.rank, took)
 	}
 	ln.pump(now)
+	ln.freed()
+}
+
+// freed tells the stage if a revision can be released.
+func (ln *lane) freed() {
+	if len(ln.ended) > 0 && ln.blocker() > ln.ended[0] {
+		ln.stage.cfg.Freed()
+	}
 }
 
-// released returns the revision in force if no request in progress belongs to a slot that the lane does not hold.
-func (ln *lane) released() (uint64, bool) {
+// released takes out and returns the ended revisions that no request in progress needs.
+func (ln *lane) released() []uint64 {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	if ln.fallback {
-		return 0, false
+	if len(ln.ended) == 0 {
+		return nil
 	}
-	for j := range ln.running {
-		if !ln.removed.IsZero() {
-			return 0, false
+	oldest := ln.blocker()
+	var out []uint64
+	ln.ended = slices.DeleteFunc(ln.ended, func(rev uint64) bool {
+		if rev >= oldest {
+			return false
 		}
-		if token, ok := ln.token(j.req.Slot); ln.keyed && (!ok || token != j.req.Token) {
-			return 0, false
+		out = append(out, rev)
+		return true
+	})
+	return out
+}
+
+// blocker returns the lowest revision under which a request in progress was sent that the lane would not send now.
+// A request of an earlier revision blocks all later ones that ended: its slot was part of them too.
+func (ln *lane) blocker() uint64 {
+	low := uint64(math.MaxUint64)
+	for j := range ln.running {
+		if ln.removed.IsZero() {
+			if token, ok := ln.token(j.req.Slot); !ln.keyed || ok && token == j.req.Token {
+				continue
+			}
 		}
+		low = min(low, j.rev)
 	}
-	return ln.def.GetRevision(), true
+	return low
 }
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/bramleycove/bramleycove/internal/flow/retry"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
-	"github.com/bramleycove/bramleycove/internal/plat/server"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 )
 
@@ -27,6 +25,8 @@
 	ReasonCanceled = "cancelled"      // the caller gave up in the queue
 	ReasonFrozen   = "servers-frozen" // no server of the lane has answered lately
 	ReasonServers  = "no-servers"     // the lane has no server that takes work
+	ReasonHeld     = "servers-held"   // all servers asked to be left alone for longer than the rank's target
+	ReasonCrash    = "quarantine"     // the request has crashed servers
 	ReasonRank     = "unknown-rank"
 )
 
@@ -36,10 +36,17 @@
 	Ranks func() []tables.Rank
 	// Servers returns the servers of an unkeyed lane that this instance serves as a fallback.
 	Servers func(lane string) []tables.Server
-	// Struck reports whether a server was lost while it ran a request with this fingerprint.
-	Struck func(now time.Time, fingerprint [32]byte) bool
-	// Strike records that the server was lost while it ran a request with this fingerprint.
-	Strike func(now time.Time, fingerprint [32]byte, server string)
+	// Leaving reports whether a server is leaving by the word of the platform's list.
+	Leaving func(server string) bool
+	// Admit decides about a request by the servers that were lost while they ran it: it runs as others do, or alone on
+	// its server, or is refused for some time.
+	Admit func(now time.Time, fingerprint [16]byte) (alone bool, refuse time.Duration)
+	// Lost records that the server was lost while it ran a request with this fingerprint.
+	Lost func(now time.Time, server string, fingerprint [16]byte)
+	// Succeeded records that a request that ran alone did not harm its server.
+	Succeeded func(now time.Time, fingerprint [16]byte)
+	// Freed is called when Released has something to report, with locks held: it must return at once.
+	Freed func()
 	// Seed of the waits before retries.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -53,7 +60,7 @@
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
-	gone  map[string]*lane // removed by the controller, kept until their release was reported for a while
+	gone  map[string]*lane // removed by the controller, kept until their requests in progress have ended
 
 	budgets sync.Mutex
 	routes  map[string]*retry.Budget
@@ -65,24 +72,30 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.Struck == nil {
-		cfg.Struck = func(time.Time, [32]byte) bool { return false }
-	}
-	if cfg.Strike == nil {
-		cfg.Strike = func(time.Time, [32]byte, string) {}
-	}
 	if cfg.Servers == nil {
 		cfg.Servers = func(string) []tables.Server { return nil }
 	}
+	if cfg.Leaving == nil {
+		cfg.Leaving = func(string) bool { return false }
+	}
+	if cfg.Admit == nil {
+		cfg.Admit = func(time.Time, [16]byte) (bool, time.Duration) { return false, 0 }
+	}
+	if cfg.Lost == nil {
+		cfg.Lost = func(time.Time, string, [16]byte) {}
+	}
+	if cfg.Succeeded == nil {
+		cfg.Succeeded = func(time.Time, [16]byte) {}
+	}
+	if cfg.Freed == nil {
+		cfg.Freed = func() {}
+	}
 	return &Stage{
 		cfg: cfg, lanes: make(map[string]*lane), gone: make(map[string]*lane),
 		routes: make(map[string]*retry.Budget), pause: retry.NewPause(cfg.Seed),
 	}
 }
 
-// goneFor is how long the release of a removed lane is repeated, since heartbeats can be lost.
-const goneFor = 30 * time.Second
-
 // Update sets the lanes that this instance dispatches until until, a time of the local monotonic clock. A lane that
 // is missing is removed: nothing that waits in it is sent any more, and its requests in progress end normally.
 func (s *Stage) Update(now time.Time, in []*peerpb.Lane, until time.Time) {
@@ -111,22 +124,23 @@
 		s.gone[name] = ln
 	}
 	for name, ln := range s.gone {
-		if ln.forget(now) {
+		if ln.forget() {
 			delete(s.gone, name)
 			ln.close()
 		}
 	}
 }
 
-// Released returns, for each lane, the revision in force here whose removed slots, or whole lane, have no request in
-// progress any more. A lane that was removed appears with the last revision that this instance was told.
+// Released returns the lane revisions that ended since the last call: they were replaced or removed by Update, and no
+// request that was sent under them is in progress any more, but for slots that the lane still holds under a later
+// revision. Each revision is returned once.
 func (s *Stage) Released() []*peerpb.Release {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var out []*peerpb.Release
 	for _, set := range []map[string]*lane{s.lanes, s.gone} {
 		for _, ln := range set {
-			if rev, ok := ln.released(); ok {
+			for _, rev := range ln.released() {
 				out = append(out, &peerpb.Release{Lane: ln.name, Revision: rev})
 			}
 		}
@@ -252,6 +266,14 @@
 
 const maxAttempts = 3
 
+// target returns the latency within which an answer of the rank is useful, 0 if it is not bounded.
+func (s *Stage) target(rank int) time.Duration {
+	if all := s.cfg.Ranks(); rank < len(all) {
+		return all[rank].Target
+	}
+	return 0
+}
+
 func (s *Stage) earn(route string) {
 	s.budgets.Lock()
 	defer s.budgets.Unlock()
@@ -290,7 +312,3 @@
 		return false
 	}
 }
-
-// newClient opens at most twice as many connections as the server has concurrency slots, so that a second dispatcher
-// that was frozen and returns still finds the server within its limit.
-func newClient(addr netip.AddrPort, slots int) *server.Client { return server.New(addr, 2*slots) }
--- a/internal/flow/lanes/server.go
+++ b/internal/flow/lanes/server.go
@@ -24,7 +24,8 @@
 	addr        netip.AddrPort
 	incarnation uint64
 	slots       int
-	leaving     bool      // by the tables or the list
+	told        bool      // leaving by the word of the controller
+	leaving     bool      // leaving by the word of the controller or the platform's list
 	drained     time.Time // by its own answer, until this time
 	solo        *job      // running request that lost a server before, and so runs alone
 	reserved    bool      // takes no other work until it is idle, for such a request
@@ -36,14 +37,25 @@
 func newBackend(d *peerpb.Server, addr netip.AddrPort) *backend {
 	slots := max(1, int(d.GetSlots()))
 	return &backend{
-		name: d.GetName(), addr: addr, incarnation: d.GetIncarnation(), slots: slots, leaving: d.GetLeaving(),
-		client: newClient(addr, slots), limit: limit.New(slots),
+		name: d.GetName(), addr: addr, incarnation: d.GetIncarnation(), slots: slots, told: d.GetLeaving(),
+		client: server.New(addr, connections(slots, int(d.GetConnections()))), limit: limit.New(slots),
 	}
 }
 
+// connections returns how many connections to open: at most twice the concurrency slots, so that a second dispatcher
+// that was frozen and returns still finds the server within its limit.
+func connections(slots, limit int) int {
+	if limit > 0 {
+		return min(2*slots, limit)
+	}
+	return 2 * slots
+}
+
 // same reports whether d describes the process that b talks to.
 func (b *backend) same(d *peerpb.Server, addr netip.AddrPort) bool {
-	return b.name == d.GetName() && b.addr == addr && b.incarnation == d.GetIncarnation() && b.slots == max(1, int(d.GetSlots()))
+	known := b.incarnation != 0 && d.GetIncarnation() != 0
+	return b.name == d.GetName() && b.addr == addr && b.slots == max(1, int(d.GetSlots())) &&
+		(!known || b.incarnation == d.GetIncarnation())
 }
 
 // away reports whether the server takes no new work because it is leaving.
@@ -69,7 +81,7 @@
 	for _, b := range ln.servers {
 		b.reserved = false
 	}
-	if len(ln.alone) == 0 {
+	if len(ln.alone) == 0 || (ln.turn > 0 && ln.queue.Total() > 0) {
 		return false
 	}
 	j := ln.alone[0]
@@ -91,6 +103,7 @@
 	}
 	ln.alone = ln.alone[1:]
 	best.solo = j
+	ln.turn = best.slots // then the others get as much of a server as it can run
 	ln.start(now, j, best)
 	return true
 }
--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
 // RequestID is the name of the header that carries the id of a request. Servers echo it.
@@ -35,9 +36,9 @@
 	Lane        string
 	Slot        uint32
 	Token       uint64
-	Identity    string // hex form of the idempotency key, empty if the route declares none
-	Fingerprint [32]byte
-	Origin      string // data centre where the request entered
+	Identity    string   // hex form of the idempotency key, empty if the route declares none
+	Fingerprint [16]byte // of method, path with query, and body
+	Origin      string   // data centre where the request entered
 	Hops        int
 	Deadline    time.Time // when the caller stops waiting, on the local monotonic clock
 
@@ -127,6 +128,24 @@
 	h.SetBodyRaw(a.Body)
 }
 
+// Record returns the answer in the form that the ledger keeps.
+func (a *Answer) Record() *record.Answer {
+	out := &record.Answer{Status: uint32(a.Status), Body: a.Body}
+	for _, h := range a.Headers {
+		out.Headers = append(out.Headers, &record.Header{Name: h.Name, Value: h.Value})
+	}
+	return out
+}
+
+// Recorded returns an answer that the ledger kept.
+func Recorded(in *record.Answer) Answer {
+	a := Answer{Status: int(in.GetStatus()), Body: in.GetBody()}
+	for _, h := range in.GetHeaders() {
+		a.Headers = append(a.Headers, Header{h.GetName(), h.GetValue()})
+	}
+	return a
+}
+
 // Millis returns d in whole milliseconds, at least 1, so that a short rest is never sent as "no limit".
 func Millis(d time.Duration) string {
 	return strconv.FormatInt(max(1, d.Milliseconds()), 10)
--- a/internal/place/view/spread.go
+++ b/internal/place/view/spread.go
@@ -21,8 +21,8 @@
 	Servers []tables.Server
 }
 
-// Split returns the lanes of an unkeyed pool in dc: its servers there in the order of their names, LaneSize to a lane.
-// Controller and entry instances use the same rule, so that fallback instances know the servers of a lane.
+// Split returns the lanes of an unkeyed pool in dc: its servers there in the order of their names, in lanes of even size
+// and at most LaneSize. The controller uses the same rule, so that fallback instances know the servers of a lane.
 func Split(p *tables.Pool, dc string) []Chunk {
 	var servers []tables.Server
 	for _, s := range p.Servers {
@@ -31,9 +31,13 @@
 		}
 	}
 	slices.SortFunc(servers, func(a, b tables.Server) int { return cmp.Compare(a.Name, b.Name) })
-	var out []Chunk
-	for c := range slices.Chunk(servers, LaneSize) {
-		out = append(out, Chunk{Lane: p.Name + "/" + dc + "/" + strconv.Itoa(len(out)), Servers: c})
+	n := len(servers)
+	out := make([]Chunk, (n+LaneSize-1)/LaneSize)
+	for k := range out {
+		out[k] = Chunk{
+			Lane:    p.Name + "/" + dc + "/" + strconv.Itoa(k),
+			Servers: servers[k*n/len(out) : (k+1)*n/len(out)],
+		}
 	}
 	return out
 }
--- a/internal/place/view/view.go
+++ b/internal/place/view/view.go
@@ -64,9 +64,9 @@
 	pools   map[string]*pool
 	slots   map[string][]fold.Slot
 	owners  []*peerpb.Owner
-	lanes   map[string]netip.AddrPort // dispatcher by lane name
-	members []netip.AddrPort          // peers of the own data centre
-	list    roster.List
+	lanes   map[string]netip.AddrPort   // dispatcher by lane name
+	members []netip.AddrPort            // peers of the own data centre
+	leaving map[string]bool             // servers that the platform's list shows as leaving
 	peers   map[string][]netip.AddrPort // listed instances by data centre, leaving ones only if there is no other
 	changed chan struct{}               // closed when a newer state is in force
 }
@@ -165,7 +165,13 @@
 			peers[dc] = addrs
 		}
 	}
-	v.update(func(s *state) { s.list, s.peers = l, peers })
+	servers := make(map[string]bool)
+	for _, sv := range l.Servers {
+		if sv.Leaving {
+			servers[sv.Name] = true
+		}
+	}
+	v.update(func(s *state) { s.peers, s.leaving = peers, servers })
 }
 
 func (v *View) build(s *state) {
@@ -311,6 +317,9 @@
 	}
 }
 
+// Leaving reports whether the platform's list shows the server as leaving.
+func (v *View) Leaving(server string) bool { return v.state.Load().leaving[server] }
+
 // Servers returns the servers of a lane of an unkeyed pool in the own data centre by the tables in force, nil if
 // there is no such lane. Fallback instances, which no controller told of the lane, serve it by this.
 func (v *View) Servers(lane string) []tables.Server {
--- a/internal/plat/server/send.go
+++ b/internal/plat/server/send.go
@@ -33,6 +33,7 @@
 // Client sends requests to one backend server. It may be used by many goroutines.
 type Client struct {
 	pool    *conns.Pool
+	limit   int
 	cancels conc.WaitGroup
 }
 
@@ -44,7 +45,7 @@
 
 // New returns a client of the server at addr that opens at most limit connections.
 func New(addr netip.AddrPort, limit int) *Client {
-	return &Client{pool: conns.New(addr, limit)}
+	return &Client{pool: conns.New(addr, limit), limit: limit}
 }
 
 // Send sends req once and returns the whole answer. Errors are *result.Error and say whether the request may have
@@ -57,7 +58,7 @@
 	setHeaders(h, req)
 	sent, err := c.pool.Do(ctx, h, resp, until)
 	if err != nil {
-		if sent && ctx.Err() != nil {
+		if sent && ctx.Err() != nil && c.limit > 1 {
 			c.cancel(req.ID)
 		}
 		return Reply{}, failure(ctx, sent, err)
