Test takeover, failover and log outages of the controller in one process

Three instances and four servers run as goroutines against a log in memory. The members of a reply leave out instances that leave.

--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -308,11 +308,12 @@
 	}
 	c.Pair, c.high, c.heard, c.weak = p, p, now, time.Time{}
 	c.table.Raise(p)
-	earlier := make([][]string, 0, len(c.cell.Earlier))
+	c.table.Beat(now, c.ID, c.Peer.String(), c.leaving)
+	before := make([][]string, 0, len(c.cell.Earlier))
 	for _, ids := range c.cell.Earlier {
-		earlier = append(earlier, ids)
+		before = append(before, ids)
 	}
-	c.fence = lease.NewFence(c.cell.Witnesses, earlier, len(earlier) == 0 && p.Epoch == 0 && !c.cell.Ready)
+	c.fence = lease.NewFence(c.cell.Witnesses, before, len(before) == 0 && p.Epoch == 0 && !c.cell.Ready)
 	fresh := lease.NewQuorum(c.cell.Witnesses)
 	if !renewing {
 		c.quorum = fresh
@@ -330,7 +331,7 @@
 	for _, s := range c.servers {
 		s.confirmed = false
 	}
-	c.event("fence", "pair", p, "witnesses", len(c.cell.Witnesses), "earlier", len(earlier), "renewing", renewing)
+	c.event("fence", "pair", p, "witnesses", len(c.cell.Witnesses), "earlier", len(before), "renewing", renewing)
 	c.displace(now)
 }
 
@@ -378,7 +379,7 @@
 	until := now.Add(lease.Stretch(lease.D + lease.L))
 	for _, s := range c.servers {
 		if s.Checks && !s.confirmed && s.lapse.After(now.Add(-lease.D-reportAge)) {
-			c.expose.Unknown(s.Name+"/earlier", s.pool, until)
+			c.expose.Unknown(earlier(s.Name), s.pool, until)
 		}
 	}
 	c.quorum, c.next, c.renewing = c.next, nil, false
@@ -392,7 +393,7 @@
 	for _, s := range c.servers {
 		known[s.Name] = true
 		if s.Checks && !s.confirmed {
-			c.expose.Unknown(s.Name+"/earlier", s.pool, c.settle)
+			c.expose.Unknown(earlier(s.Name), s.pool, c.settle)
 		}
 	}
 	for _, id := range c.fence.Missing() {
@@ -410,7 +411,7 @@
 		for _, s := range c.place.Slots(p.Name) {
 			if s.DC == c.DC && s.Owner != "" && !known[s.Owner] {
 				known[s.Owner] = true
-				c.expose.Unknown(s.Owner+"/earlier", p.Name, c.settle)
+				c.expose.Unknown(earlier(s.Owner), p.Name, c.settle)
 			}
 		}
 	}
--- a/internal/place/ctrl/serve.go
+++ b/internal/place/ctrl/serve.go
@@ -46,6 +46,7 @@
 		return
 	}
 	c.Authority = c.quorum.Until()
+	c.table.Beat(now, c.ID, c.Peer.String(), c.leaving)
 	c.liveness(now)
 	c.refence(now)
 	c.expose.Prune(now)
--- a/internal/place/ctrl/server.go
+++ b/internal/place/ctrl/server.go
@@ -220,6 +220,7 @@
 	}
 	if s.step == regular && !s.confirmed {
 		s.confirmed, c.dirty = true, true
+		c.expose.Known(earlier(s.Name))
 	}
 	c.confirm(now, s.sent, s.key())
 	if len(r.Held) == 0 {
@@ -240,6 +241,9 @@
 	}
 }
 
+// earlier names a server's process as the holder of what earlier pairs granted.
+func earlier(server string) string { return server + "/earlier" }
+
 // down reports whether a server can be given no work at now.
 func (c *Core) down(now time.Time, s *server) bool {
 	if !s.Checks {
--- a/internal/place/drive/drive_test.go
+++ b/internal/place/drive/drive_test.go
@@ -1,10 +1,199 @@
 package drive_test
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/lease"
+)
 
 // Guards the whole path: claim, fence, Ready, adoption, grants and lanes, with a single instance.
 func TestOneInstanceServesAllSlots(t *testing.T) {
 	r := newRig(t, 1, 4, true)
-	took := r.eventually("all slots served", r.served)
-	t.Logf("all slots served after %v", took)
+	r.eventually("all slots served", r.served)
+}
+
+// backendOf returns the server with that name.
+func (r *rig) backendOf(name string) *backend {
+	for addr, n := range r.names {
+		if n == name {
+			return r.servers[addr]
+		}
+	}
+	return nil
+}
+
+func (b *backend) setDown(down bool) {
+	b.mu.Lock()
+	b.down = down
+	b.mu.Unlock()
+}
+
+// recorded reports how many slots the fold of n gives to server, and how many unlogged moves it knows.
+func (n *node) recorded(server string) (count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.place.Slots("stock") {
+		if s.Owner == server {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *rig) cell() fold.Cell {
+	n := r.all()[0]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.place.Cell("east")
+}
+
+// steady starts a rig and waits until all slots are served.
+func steady(t *testing.T, instances int) *rig {
+	r := newRig(t, instances, 4, true)
+	r.eventually("all slots served", r.served)
+	r.eventually("witness set complete", func() bool {
+		return r.controller() != nil && len(r.cell().Witnesses) == instances+4 && r.cell().Ready
+	})
+	r.eventually("all slots served", r.served)
+	return r
+}
+
+// Guards failover of a server that stops answering: its slots go to others, and it gets none back by itself.
+func TestSlotsOfLostServerMove(t *testing.T) {
+	r := steady(t, 3)
+	r.backendOf("s1").setDown(true)
+	r.eventually("slots recorded for other servers", func() bool { return r.all()[0].recorded("s1") == 0 })
+	t.Logf("served again %v later", r.eventually("all slots served", r.served))
+	r.backendOf("s1").setDown(false)
+	r.eventually("witness set complete again", func() bool { return len(r.cell().Witnesses) == 7 })
+}
+
+// Guards succession after a crash of the controller, with the log.
+func TestControllerCrash(t *testing.T) {
+	r := steady(t, 3)
+	old := r.controller()
+	r.stop(old)
+	r.eventually("another controller", func() bool { n := r.controller(); return n != nil && n != old })
+	t.Logf("served again %v later", r.eventually("all slots served", r.served))
+}
+
+// Guards succession by epoch and moves without the log, and that they are recorded when the log returns.
+func TestCrashesWhileLogIsDown(t *testing.T) {
+	r := steady(t, 3)
+	r.log.set(true, false)
+	old := r.controller()
+	r.stop(old)
+	r.eventually("a successor", func() bool {
+		n := r.controller()
+		return n != nil && n.driver.Status().Pair.Epoch > 0
+	})
+	r.eventually("all slots served", r.served)
+	r.backendOf("s2").setDown(true)
+	r.eventually("slots moved without the log", func() bool {
+		n := r.controller()
+		return n != nil && n.driver.Status().Unlogged > 0
+	})
+	r.eventually("all slots served", r.served)
+	r.log.set(false, false)
+	r.eventually("moves recorded", func() bool {
+		n := r.controller()
+		return n != nil && n.driver.Status().Unlogged == 0 && n.recorded("s2") == 0
+	})
+	r.eventually("all slots served", r.served)
+}
+
+// Guards that a new controller learns moves that are in no log from the servers.
+func TestUnloggedMovesOutliveTheirController(t *testing.T) {
+	r := steady(t, 3)
+	r.log.set(true, false)
+	r.backendOf("s0").setDown(true)
+	r.eventually("slots moved without the log", func() bool { return r.controller() != nil && r.controller().driver.Status().Unlogged > 0 })
+	r.eventually("all slots served", r.served)
+	before := r.holders()
+	old := r.controller()
+	old.driver.Leave()
+	r.eventually("another controller", func() bool { n := r.controller(); return n != nil && n != old })
+	r.eventually("all slots served", r.served)
+	for slot, server := range r.holders() {
+		if before[slot] != server {
+			t.Errorf("slot %d moved from %s to %s with its controller", slot, before[slot], server)
+		}
+	}
+}
+
+func (r *rig) holders() map[uint32]string {
+	out := make(map[uint32]string)
+	for addr, b := range r.servers {
+		b.mu.Lock()
+		for _, i := range b.holds(time.Now()) {
+			out[i] = r.names[addr]
+		}
+		b.mu.Unlock()
+	}
+	return out
+}
+
+// Guards appends that take effect without an answer.
+func TestLostAppendAnswers(t *testing.T) {
+	r := steady(t, 3)
+	r.log.set(false, true)
+	r.backendOf("s3").setDown(true)
+	r.eventually("slots moved", func() bool { return r.all()[0].recorded("s3") == 0 })
+	r.eventually("all slots served", r.served)
+	r.log.set(false, false)
+	r.eventually("nothing left unlogged", func() bool { n := r.controller(); return n != nil && n.driver.Status().Unlogged == 0 })
+	r.eventually("all slots served", r.served)
+}
+
+// Guards a controller that is cut off and comes back: it must have stopped granting, and must not disturb the new one.
+func TestControllerCutOffAndBack(t *testing.T) {
+	r := steady(t, 3)
+	old := r.controller()
+	old.setCut(true)
+	r.eventually("another controller", func() bool { n := r.controller(); return n != nil && n != old })
+	r.eventually("all slots served", r.served)
+	old.setCut(false)
+	r.eventually("old one idle", func() bool { return old.driver.Status().State == ctrl.Idle })
+	r.eventually("witness set complete", func() bool { return len(r.cell().Witnesses) == 7 })
+	r.eventually("all slots served", r.served)
+}
+
+// Guards a lost dispatcher: its lanes go to another instance.
+func TestDispatcherCrash(t *testing.T) {
+	r := steady(t, 3)
+	for _, n := range r.all() {
+		if n != r.controller() {
+			r.stop(n)
+			break
+		}
+	}
+	r.eventually("witness set without it", func() bool { return len(r.cell().Witnesses) == 6 })
+	r.eventually("all slots served", r.served)
+}
+
+// Guards a planned stop of the controller: it hands over while its grants are valid, so that no slot waits for a lapse.
+func TestControllerLeaves(t *testing.T) {
+	r := steady(t, 3)
+	old := r.controller()
+	old.driver.Leave()
+	var gap, longest time.Duration
+	last := time.Now()
+	r.eventually("another controller that serves", func() bool {
+		now := time.Now()
+		gap += now.Sub(last)
+		last = now
+		if r.served() {
+			gap = 0
+		}
+		longest = max(longest, gap)
+		n := r.controller()
+		return n != nil && n != old && n.driver.Status().State == ctrl.Serving && old.driver.Status().State == ctrl.Idle && gap == 0
+	})
+	t.Logf("longest time with a slot unserved: %v", longest)
+	if longest > lease.L {
+		t.Errorf("slots waited for a lapse: %v", longest)
+	}
 }
--- a/internal/place/lanes/lanes.go
+++ b/internal/place/lanes/lanes.go
@@ -90,11 +90,11 @@
 		t.members[id] = m
 		t.shared = t.next()
 	}
-	if m.peer != peer {
-		m.peer = peer
+	if m.peer != peer || m.leaving != leaving {
+		m.peer, m.leaving = peer, leaving
 		t.shared = t.next()
 	}
-	m.leaving, m.seen = leaving, now
+	m.seen = now
 }
 
 // Live returns the instances that were heard within L, sorted.
@@ -301,6 +301,7 @@
 	l.past = append(l.past, term{holder: l.holder, revision: l.revision, slots: l.Slots, last: now})
 }
 
+// list returns the live instances that stay. That a controller is missing says that it leaves.
 func (t *Table) list() []*peerpb.Member {
 	held := make(map[string][]string)
 	for name, l := range t.lanes {
@@ -310,7 +311,7 @@
 	}
 	var out []*peerpb.Member
 	for id, m := range t.members {
-		if !m.up {
+		if !m.up || m.leaving {
 			continue
 		}
 		slices.Sort(held[id])
--- a/internal/place/lease/expose.go
+++ b/internal/place/lease/expose.go
@@ -80,6 +80,14 @@
 	e.add(holder, claim{all: pool, until: until, settled: true})
 }
 
+// Known ends what Unknown noted of holder, since the process has confirmed a pair and dropped all it held before.
+func (e *Exposure) Known(holder string) {
+	if e.holders[holder] == nil {
+		return
+	}
+	e.holders[holder] = slices.DeleteFunc(e.holders[holder], func(c claim) bool { return c.all != "" })
+}
+
 // Accepted notes that holder accepted grant id and dropped what it held before. It changes nothing when a later
 // grant was sent meanwhile, since the two may have arrived in either order.
 func (e *Exposure) Accepted(holder string, id uint64) {
