Split the controller into fleet, slots, beats and core

place/fleet keeps the servers' processes and grants, place/slots the assignment of slots and the lanes made of them, place/beats the heartbeats answered. A server that refuses a token as too low gets its slots anew with higher ones, and slots seized from a data centre stay until that one answers again.

--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -1,14 +1,13 @@
 package ctrl
 
 import (
-	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/fleet"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
-	"github.com/bramleycove/bramleycove/internal/place/lanes"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 	"github.com/bramleycove/bramleycove/internal/wire/record"
@@ -41,11 +40,6 @@
 	return n
 }
 
-// serverID names a process of a backend server as a witness and as a holder of grants.
-func serverID(name string, incarnation uint64) string {
-	return fmt.Sprintf("server:%s/%x", name, incarnation)
-}
-
 // present keeps the instances of the list and when each witness was last shown.
 func (c *Core) present(now time.Time) {
 	names := make(map[string]bool)
@@ -97,8 +91,8 @@
 		return true
 	}
 	if rest, ok := strings.CutPrefix(id, "server:"); ok {
-		s := c.servers[name(rest)]
-		return s != nil && (s.incarnation == 0 || s.key() == id)
+		s := c.fleet.Server(name(rest))
+		return s != nil && (s.Incarnation == 0 || s.Key() == id)
 	}
 	if id == c.ID {
 		return true
@@ -182,9 +176,7 @@
 	for _, p := range c.peers {
 		p.done, p.asked = false, time.Time{}
 	}
-	for _, s := range c.servers {
-		s.step, s.asked, s.alive = probing, false, false
-	}
+	c.fleet.Forget()
 	c.survey(now)
 }
 
@@ -200,15 +192,7 @@
 			c.ask(now, n, p, &peerpb.FenceRequest{Dc: c.DC})
 		}
 	}
-	for _, s := range c.servers {
-		if !s.Checks {
-			continue
-		}
-		waiting = waiting || !s.asked || s.busy
-		if !s.asked && !s.busy {
-			c.probe(now, s)
-		}
-	}
+	waiting = c.fleet.Survey(now) || waiting
 	if waiting && now.Sub(c.since) < surveying {
 		return
 	}
@@ -232,7 +216,7 @@
 		return
 	}
 	c.enter(now, Claiming)
-	c.term = c.append(now, c.claimRecord())
+	c.term = c.log.Append(now, c.claimRecord())
 }
 
 func (c *Core) claimRecord() *record.Record {
@@ -246,9 +230,9 @@
 			}
 		}
 	}
-	for _, n := range keys(c.servers) {
-		if s := c.servers[n]; s.Checks && s.incarnation != 0 && s.alive {
-			ids = append(ids, s.key())
+	for _, s := range c.fleet.All() {
+		if s.Checks && s.Incarnation != 0 && s.Alive {
+			ids = append(ids, s.Key())
 		}
 	}
 	return &record.Record{Kind: &record.Record_Term{Term: &record.Term{
@@ -271,7 +255,7 @@
 		c.begin(now, lease.Pair{Term: c.cell.Term}, false)
 		return
 	}
-	done, late := c.term.over(now, c.place.Offset())
+	done, late := c.log.Over(now, c.term, c.place.Offset())
 	switch {
 	case late:
 		c.succeed(now, "log-late")
@@ -297,15 +281,12 @@
 // begin starts to displace all earlier pairs. A holder that renews its own term under authority keeps what it knows.
 func (c *Core) begin(now time.Time, p lease.Pair, renewing bool) {
 	if !renewing {
-		peers, servers := c.peers, c.servers
+		peers := c.peers
 		c.Pair = p
 		c.reset()
-		c.peers, c.servers = peers, servers
-		c.table = lanes.New(p)
-		for _, s := range c.servers {
-			s.restart()
-		}
+		c.peers = peers
 	}
+	c.fleet.Begin(now, p, renewing)
 	c.Pair, c.high, c.heard, c.weak = p, p, now, time.Time{}
 	c.table.Raise(p)
 	c.table.Beat(now, c.ID, c.Peer.String(), c.leaving)
@@ -322,15 +303,10 @@
 		c.next = fresh
 	}
 	c.renewing = renewing
-	for _, b := range c.beats {
-		b.nonce = 0
-	}
+	c.book.Renew()
 	for _, peer := range c.peers {
 		peer.done, peer.asked = false, time.Time{}
 	}
-	for _, s := range c.servers {
-		s.confirmed = false
-	}
 	c.event("fence", "pair", p, "witnesses", len(c.cell.Witnesses), "earlier", len(before), "renewing", renewing)
 	c.displace(now)
 }
@@ -342,7 +318,7 @@
 			c.ask(now, n, p, c.fenceRequest())
 		}
 	}
-	c.rounds(now)
+	c.fleet.Round(now, c.authority(now))
 	if !c.fence.Complete() {
 		if c.renewing && !c.quorum.Holds(now) {
 			// Without authority in between, another holder may have granted slots.
@@ -376,12 +352,7 @@
 		c.begin(now, c.Pair, false)
 		return
 	}
-	until := now.Add(lease.Stretch(lease.D + lease.L))
-	for _, s := range c.servers {
-		if s.Checks && !s.confirmed && s.lapse.After(now.Add(-lease.D-reportAge)) {
-			c.expose.Unknown(earlier(s.Name), s.pool, until)
-		}
-	}
+	c.fleet.Doubt(now.Add(lease.Stretch(lease.D+lease.L)), now.Add(-lease.D-fleet.ReportAge))
 	c.quorum, c.next, c.renewing = c.next, nil, false
 	c.event("renewed", "pair", c.Pair)
 	c.dirty = true
@@ -389,29 +360,28 @@
 
 // doubt notes which servers may hold any slot by what earlier pairs granted: those that have not confirmed the pair.
 func (c *Core) doubt() {
-	known := make(map[string]bool)
-	for _, s := range c.servers {
-		known[s.Name] = true
-		if s.Checks && !s.confirmed {
-			c.expose.Unknown(earlier(s.Name), s.pool, c.settle)
-		}
-	}
+	c.fleet.Doubt(c.settle, time.Time{})
 	for _, id := range c.fence.Missing() {
 		rest, ok := strings.CutPrefix(id, "server:")
 		if !ok {
 			continue
 		}
+		s := c.fleet.Server(name(rest))
+		if s != nil && s.Key() == id {
+			continue
+		}
 		for _, p := range c.tables.Pools {
-			if s := c.servers[name(rest)]; p.Keyed && (s == nil || s.pool == p.Name) {
-				c.expose.Unknown(id, p.Name, c.settle)
+			if p.Keyed && (s == nil || s.Pool == p.Name) {
+				c.fleet.Expose.Unknown(id, p.Name, c.settle)
 			}
 		}
 	}
+	known := make(map[string]bool)
 	for _, p := range c.tables.Pools {
 		for _, s := range c.place.Slots(p.Name) {
-			if s.DC == c.DC && s.Owner != "" && !known[s.Owner] {
+			if s.DC == c.DC && s.Owner != "" && c.fleet.Server(s.Owner) == nil && !known[s.Owner] {
 				known[s.Owner] = true
-				c.expose.Unknown(earlier(s.Owner), p.Name, c.settle)
+				c.fleet.Expose.Unknown(fleet.Earlier(s.Owner), p.Name, c.settle)
 			}
 		}
 	}
--- a/internal/place/ctrl/core.go
+++ b/internal/place/ctrl/core.go
@@ -8,30 +8,26 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/beats"
+	"github.com/bramleycove/bramleycove/internal/place/fleet"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/lanes"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/place/slots"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
-	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
 // Action is something for the driver to do. Exactly one field is set.
 type Action struct {
-	Append *Append
+	Append *slots.Append // its result goes to Appended
 	Fence  *Fence
-	Grant  *Grant
+	Grant  *fleet.Order // its result goes to Answered
 	Event  *Event
 }
 
-// Append asks for a record in the place stream. Its result goes to Appended with the same tag.
-type Append struct {
-	Tag    uint64
-	Record *record.Record
-}
-
 // Fence asks an instance to confirm a pair, or with term 0 for its id. Its result goes to Fenced.
 type Fence struct {
 	Name    string // as in the list
@@ -39,14 +35,6 @@
 	Request *peerpb.FenceRequest
 }
 
-// Grant is sent to a server. Its result goes to Answered with the same id.
-type Grant struct {
-	Server string
-	ID     uint64
-	Addr   netip.AddrPort
-	Grant  grants.Grant
-}
-
 // Event is one decision, for the log.
 type Event struct {
 	Name   string
@@ -117,20 +105,16 @@
 	shown    map[string]time.Time
 	retry    time.Time // next Ready append
 
-	peers   map[string]*peer // by name in the list
-	servers map[string]*server
-	pools   map[string]*pool
-	expose  lease.Exposure
-	table   *lanes.Table
-	beats   map[string]*beat
-	strikes []strike
-	nonce   uint64
-	ids     uint64
-	tag     uint64
-	term    *pending // Term append in flight
-	ready   *pending
-
-	logdown bool
+	peers map[string]*peer // by name in the list
+	fleet *fleet.Fleet
+	pools map[string]*slots.Pool
+	table *lanes.Table
+	book  beats.Book
+	log   slots.Log
+	term  *slots.Pending // Term append in flight
+	ready *slots.Pending
+
+	synced  bool // the fleet knows the tables and the list
 	dirty   bool
 	planned time.Time
 	out     []Action
@@ -143,45 +127,21 @@
 	Authority time.Time // until when, by the last confirmations
 	Moves     int       // slots being moved
 	Unlogged  int       // moves that are not in the log yet
-	LogDown   bool      // the log did not answer the last append in time
-}
-
-// pending is an append whose effect is not known yet.
-type pending struct {
-	tag    uint64
-	sent   time.Time
-	offset uint64 // 0 until answered
-	failed bool   // certainly without effect
-}
-
-// logWait is how long the controller waits for the log before it moves slots without it.
-const logWait = 500 * time.Millisecond
-
-// over reports whether the outcome of the append is known to the fold, or waiting longer is useless.
-func (p *pending) over(now time.Time, folded uint64) (done, late bool) {
-	switch {
-	case p.failed:
-		return true, true
-	case p.offset != 0 && folded >= p.offset:
-		return true, false
-	case now.Sub(p.sent) >= logWait:
-		return true, true
-	}
-	return false, false
 }
 
 // New returns an idle core.
 func New(cfg Config) *Core {
 	c := &Core{Config: cfg, since: cfg.Start, heard: cfg.Start, cellSeen: cfg.Start, shown: make(map[string]time.Time)}
+	c.fleet = fleet.New(c.event)
+	c.log.Event = c.event
 	c.reset()
 	return c
 }
 
 func (c *Core) reset() {
 	c.peers = make(map[string]*peer)
-	c.servers = make(map[string]*server)
-	c.pools = make(map[string]*pool)
-	c.beats = make(map[string]*beat)
+	c.pools = make(map[string]*slots.Pool)
+	c.book = beats.Book{}
 	c.table = lanes.New(c.Pair)
 	c.quorum, c.fence, c.term, c.ready = nil, nil, nil, nil
 	c.renewing, c.drift = false, time.Time{}
@@ -189,14 +149,14 @@
 
 // Tables replaces the tables. lost are the data centres that operators declare destroyed.
 func (c *Core) Tables(t *tables.Tables, lost []string) {
-	c.tables, c.lost, c.dirty = t, lost, true
+	c.tables, c.lost, c.dirty, c.synced = t, lost, true, false
 	for _, p := range c.pools {
-		p.homes = nil
+		p.Refresh()
 	}
 }
 
 // List replaces the platform's list, received at now.
-func (c *Core) List(l roster.List) { c.list, c.listed, c.dirty = l, true, true }
+func (c *Core) List(l roster.List) { c.list, c.listed, c.dirty, c.synced = l, true, true, false }
 
 // Leave makes the core give the role to another instance and claim it no more.
 func (c *Core) Leave() { c.leaving = true }
@@ -267,8 +227,19 @@
 		c.serve(now)
 	}
 	c.place = nil
+	return c.actions()
+}
+
+// actions returns what is to be done, events first.
+func (c *Core) actions() []Action {
 	out := c.out
 	c.out = nil
+	for _, a := range c.log.Out() {
+		out = append(out, Action{Append: &a})
+	}
+	for _, o := range c.fleet.Orders() {
+		out = append(out, Action{Grant: &o})
+	}
 	return out
 }
 
@@ -283,26 +254,30 @@
 	}
 	c.cell = cell
 	c.present(now)
-	c.syncServers(now)
+	if !c.synced && c.tables != nil {
+		c.synced = true
+		c.fleet.Sync(now, c.DC, c.tables, &c.list)
+	}
 }
 
 // Appended takes the result of an append. An unknown outcome has offset 0 and failed false.
 func (c *Core) Appended(tag, offset uint64, failed bool) {
-	note := func(p *pending) {
-		if p != nil && p.tag == tag {
-			p.offset, p.failed = offset, failed
-		}
-	}
-	note(c.term)
-	note(c.ready)
-	for _, p := range c.pools {
-		note(p.append)
-	}
+	c.log.Appended(tag, offset, failed)
 	c.dirty = true
 }
 
-func (c *Core) append(now time.Time, rec *record.Record) *pending {
-	c.tag++
-	c.out = append(c.out, Action{Append: &Append{Tag: c.tag, Record: rec}})
-	return &pending{tag: c.tag, sent: now}
+// Answered takes a server's answer to the call with this id, or its failure, at now.
+func (c *Core) Answered(now time.Time, server string, id uint64, r grants.Reply, err error) {
+	res := c.fleet.Answered(now, server, id, r, err, c.Controller())
+	switch {
+	case !res.Answered:
+	case !c.Controller():
+		if res.Seen.Compare(c.high) > 0 {
+			c.high = res.Seen
+		}
+	case res.Seen.Compare(c.Pair) > 0:
+		c.yieldTo(now, res.Seen, "refused by "+res.Key)
+	case res.Confirmed:
+		c.confirm(now, res.Sent, res.Key)
+	}
 }
--- a/internal/place/drive/drive.go
+++ b/internal/place/drive/drive.go
@@ -13,8 +13,10 @@
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/fleet"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/place/slots"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
@@ -72,7 +74,7 @@
 
 // Strike adds strikes learned elsewhere; Strikes returns those of the last minute.
 func (d *Driver) Strike(now time.Time, list []*peerpb.Strike) {
-	d.locked(func() { d.core.Strike(now, "", list) })
+	d.locked(func() { d.core.Strike(now, list) })
 }
 
 // Strikes returns the strikes of the last minute, for other data centres.
@@ -167,7 +169,7 @@
 	}
 }
 
-func (d *Driver) append(ctx context.Context, a *ctrl.Append) {
+func (d *Driver) append(ctx context.Context, a *slots.Append) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := d.Append(ctx, a.Record)
@@ -176,7 +178,7 @@
 	d.locked(func() { d.core.Appended(a.Tag, offset, failed) })
 }
 
-func (d *Driver) grant(ctx context.Context, g *ctrl.Grant) {
+func (d *Driver) grant(ctx context.Context, g *fleet.Order) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := d.Grant(ctx, g.Addr, g.Grant)
--- /dev/null
+++ b/internal/place/slots/lanes.go
@@ -0,0 +1,117 @@
+package slots
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/fleet"
+	"github.com/bramleycove/bramleycove/internal/place/lanes"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// laneSize is the largest number of servers in a lane of an unkeyed pool.
+const laneSize = 16
+
+// Arrange goes through all pools: it moves slots, sets what each server may serve, and updates the lanes. pools
+// holds the state of the keyed pools and is completed as needed. It returns how many slots are on the move, and how
+// many moves are not in the log.
+func (c *Pass) Arrange(pools map[string]*Pool) (moves, unlogged int) {
+	var specs []lanes.Spec
+	var owners []*peerpb.Owner
+	for i := range c.Tables.Pools {
+		t := &c.Tables.Pools[i]
+		if !t.Keyed {
+			specs = append(specs, c.unkeyed(t)...)
+			continue
+		}
+		p := pools[t.Name]
+		if p == nil {
+			p = New()
+			pools[t.Name] = p
+		}
+		c.plan(p, t)
+		moves += len(p.moves)
+		unlogged += len(p.over)
+		specs = append(specs, c.keyed(t, p)...)
+		owners = append(owners, p.owners(t.Name)...)
+	}
+	c.Lanes.Owners(owners)
+	c.Lanes.Update(specs)
+	c.Lanes.Elect(c.Now, c.Settle)
+	return moves, unlogged
+}
+
+// Refresh makes the next pass compute the homes anew, after a change of the tables.
+func (p *Pool) Refresh() { p.homes = nil }
+
+// Load notes the request rate of a slot.
+func (p *Pool) Load(slot uint32, rate float64) { p.load[slot] = rate }
+
+func (p *Pool) owners(n string) []*peerpb.Owner {
+	var out []*peerpb.Owner
+	for _, i := range slices.Sorted(maps.Keys(p.over)) {
+		o := p.over[i]
+		if k := len(out) - 1; k >= 0 && out[k].Last+1 == i && out[k].Server == o.Owner && out[k].Token == o.Token {
+			out[k].Last = i
+			continue
+		}
+		out = append(out, &peerpb.Owner{Pool: n, First: i, Last: i, Server: o.Owner, Token: o.Token})
+	}
+	return out
+}
+
+// keyed returns one lane for each server, with the slots that the server may serve now.
+func (c *Pass) keyed(t *tables.Pool, p *Pool) []lanes.Spec {
+	var out []lanes.Spec
+	for i := range t.Servers {
+		s := c.Fleet.Server(t.Servers[i].Name)
+		if s == nil {
+			continue
+		}
+		spec := lanes.Spec{Name: lane(t.Name, s.Name), Pool: t.Name, Keyed: true, Servers: []*peerpb.Server{s.Proto()}}
+		held := s.Granted
+		if !s.Checks {
+			held, spec.Linger = s.Set, max(p.linger, time.Millisecond)
+		}
+		for _, r := range held {
+			for i := r.First; i <= r.Last; i++ {
+				if p.moves[i] == nil && fleet.Has(s.Set, i, r.Token) {
+					spec.Slots = join(spec.Slots, i, r.Token)
+				}
+			}
+		}
+		out = append(out, spec)
+	}
+	return out
+}
+
+func join(list []*peerpb.Range, i uint32, token uint64) []*peerpb.Range {
+	if n := len(list); n > 0 && list[n-1].Last+1 == i && list[n-1].Token == token {
+		list[n-1].Last = i
+		return list
+	}
+	return append(list, &peerpb.Range{First: i, Last: i, Token: token})
+}
+
+// unkeyed returns lanes of at most laneSize servers, of even size.
+func (c *Pass) unkeyed(t *tables.Pool) []lanes.Spec {
+	var names []string
+	for i := range t.Servers {
+		if c.Fleet.Server(t.Servers[i].Name) != nil {
+			names = append(names, t.Servers[i].Name)
+		}
+	}
+	slices.Sort(names)
+	count := (len(names) + laneSize - 1) / laneSize
+	out := make([]lanes.Spec, count)
+	for k := range out {
+		out[k] = lanes.Spec{Name: fmt.Sprintf("%s/%s/%d", t.Name, c.DC, k), Pool: t.Name}
+		for _, n := range names[k*len(names)/count : (k+1)*len(names)/count] {
+			out[k].Servers = append(out[k].Servers, c.Fleet.Server(n).Proto())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/place/slots/seize.go
@@ -0,0 +1,74 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/homes"
+	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// seizeWait is how long slots taken from another data centre stay unserved. The data centre they came from is not
+// known to a later controller, so the longest declared time counts.
+func (c *Pass) seizeWait(pool string) time.Duration {
+	var yield time.Duration
+	for _, dc := range c.Place.DCs() {
+		yield = max(yield, c.Place.Yield(pool, dc))
+	}
+	return lease.Stretch(yield + lease.D + lease.L)
+}
+
+// cutOff reports whether the pool must stop because the log was last reached longer ago than it declared.
+func (c *Pass) cutOff(v *view) bool {
+	yield := c.Place.Yield(v.name, c.DC)
+	stop := yield > 0 && c.Now.Sub(c.Contact) > yield
+	if stop != v.stopped {
+		c.Event("cutoff", "pool", v.name, "stopped", stop, "contact", c.Now.Sub(c.Contact))
+	}
+	return stop
+}
+
+// seize takes the slots of another data centre that has given them up by declaration or is declared lost.
+func (c *Pass) seize(t *tables.Pool, p *Pool) {
+	for _, dc := range homesOf(c.Place.Slots(t.Name)) {
+		lost := slices.Contains(c.Lost, dc)
+		cut := c.Place.Yield(t.Name, dc) > 0 && !c.reachable(dc)
+		if dc == c.DC || (!lost && !cut) || c.heir(t, dc) != c.DC {
+			continue
+		}
+		c.Event("seize", "pool", t.Name, "from", dc, "lost", lost)
+		p.append = c.Log.Append(c.Now, &record.Record{Kind: &record.Record_Seize{Seize: &record.Seize{
+			Dc: c.DC, From: dc, Pool: t.Name, Term: c.Cell.Term, Base: c.Place.Version(t.Name, dc), Lost: lost,
+		}}})
+		return
+	}
+}
+
+// heir chooses the data centre that seizes the slots of from, the first by rendezvous that is reachable from here.
+func (c *Pass) heir(t *tables.Pool, from string) string {
+	var names []string
+	for _, w := range homes.Weights(t, append([]string{from}, c.Lost...)) {
+		names = append(names, w.DC)
+	}
+	for _, dc := range homes.Rank(t.Name+"\x00"+from, names) {
+		if dc == c.DC || c.reachable(dc) {
+			return dc
+		}
+	}
+	return ""
+}
+
+// homesOf returns the data centres that have slots, sorted.
+func homesOf(slots []fold.Slot) []string {
+	var out []string
+	for _, s := range slots {
+		if s.DC != "" && !slices.Contains(out, s.DC) {
+			out = append(out, s.DC)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/place/ctrl/slots.go
+++ b/internal/place/slots/slots.go
@@ -1,7 +1,8 @@
-package ctrl
+// Package slots decides which server owns each slot that is homed in a data centre, and takes a slot from one server
+// before it gives it to another. It reads no clock.
+package slots
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -9,8 +10,10 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/fleet"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
+	"github.com/bramleycove/bramleycove/internal/place/lanes"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/wire/record"
@@ -21,7 +24,8 @@
 	// are cut off by it are refused by the server as not run.
 	drainMax     = 2 * time.Second
 	balanceEvery = time.Second
-	retryEvery   = time.Second // between appends while the log does not answer
+	// unreachable is how long no instance of a data centre has answered before its slots are seized.
+	unreachable = 3 * time.Second
 )
 
 // stage is the progress of a move.
@@ -43,8 +47,8 @@
 	from  uint64
 }
 
-// pool is the state of one keyed pool.
-type pool struct {
+// Pool is the state of one keyed pool. The zero value is not usable; New returns one.
+type Pool struct {
 	cfg      *tables.Pool
 	linger   time.Duration // longest route timeout
 	homes    []string      // by slot
@@ -52,40 +56,51 @@
 	moves    map[uint32]*move
 	orphans  map[uint32]time.Time // slots seized without an owner yet, and when first seen
 	load     map[uint32]float64
-	append   *pending
+	append   *Pending
 	retry    time.Time
 	balanced time.Time
 	stopped  bool // cut off from the log for longer than yield
 }
 
-// pool returns the state of a pool.
-func (c *Core) pool(n string) *pool {
-	p := c.pools[n]
-	if p == nil {
-		p = &pool{
-			over: make(map[uint32]fold.Slot), moves: make(map[uint32]*move),
-			orphans: make(map[uint32]time.Time), load: make(map[uint32]float64),
-		}
-		c.pools[n] = p
+// New returns the state of a pool of which nothing is known.
+func New() *Pool {
+	return &Pool{
+		over: make(map[uint32]fold.Slot), moves: make(map[uint32]*move),
+		orphans: make(map[uint32]time.Time), load: make(map[uint32]float64),
 	}
-	return p
+}
+
+// Pass is what one pass over the pools goes by.
+type Pass struct {
+	Now     time.Time
+	DC      string
+	Pair    lease.Pair
+	Cell    fold.Cell
+	Place   *fold.Place
+	Tables  *tables.Tables
+	Lost    []string  // data centres that operators declare destroyed
+	Settle  time.Time // when everything granted by earlier pairs has lapsed
+	Contact time.Time // when the log itself was last asked successfully
+	Fleet   *fleet.Fleet
+	Lanes   *lanes.Table
+	Log     *Log
+	Event   func(name string, fields ...any)
+	Remote  func(dc string) time.Time
+	Balance func(pool string, now time.Time, servers []homes.Server, slots []homes.Slot) []homes.Move
 }
 
 // learn takes moves that were made without the log from what a server holds.
-func (c *Core) learn(s *server) {
-	s.learn = false
-	p := c.pool(s.pool)
-	slots := c.place.Slots(s.pool)
-	for i, token := range s.reported {
+func (c *Pass) learn(p *Pool, s *fleet.Server) {
+	slots := c.Place.Slots(s.Pool)
+	for i, token := range s.Learn() {
 		if int(i) < len(slots) && slots[i].DC == c.DC && token > max(slots[i].Token, p.over[i].Token) {
 			p.over[i] = fold.Slot{DC: c.DC, Owner: s.Name, Token: token}
-			c.dirty = true
 		}
 	}
 }
 
 // slot returns the assignment in force: the recorded one, or a later one that is not recorded yet.
-func (p *pool) slot(i uint32, recorded fold.Slot) fold.Slot {
+func (p *Pool) slot(i uint32, recorded fold.Slot) fold.Slot {
 	if o, ok := p.over[i]; ok && o.Token > recorded.Token && recorded.DC == o.DC {
 		return o
 	}
@@ -94,30 +109,31 @@
 
 // view is one pass over a pool: the slots that are or should be homed here.
 type view struct {
-	*pool
+	*Pool
 	name    string
 	slots   []fold.Slot // of the whole pool, in force
 	mine    []uint32
 	servers []homes.Server
+	notes   map[note]*slotList
+	order   []note
 }
 
 // look collects what is homed here, and who can own it.
-func (c *Core) look(t *tables.Pool) *view {
-	p := c.pool(t.Name)
+func (c *Pass) look(p *Pool, t *tables.Pool) *view {
 	p.cfg = t
-	for _, n := range keys(c.servers) {
-		if s := c.servers[n]; s.learn && s.pool == t.Name {
-			c.learn(s)
+	for i := range t.Servers {
+		if s := c.Fleet.Server(t.Servers[i].Name); s != nil && s.Pool == t.Name {
+			c.learn(p, s)
 		}
 	}
-	recorded := c.place.Slots(t.Name)
-	v := &view{pool: p, name: t.Name, slots: make([]fold.Slot, max(len(recorded), int(t.Slots)))}
+	recorded := c.Place.Slots(t.Name)
+	v := &view{Pool: p, name: t.Name, notes: make(map[note]*slotList), slots: make([]fold.Slot, max(len(recorded), int(t.Slots)))}
 	if len(recorded) > 0 {
 		v.slots = v.slots[:len(recorded)]
 	}
 	if len(p.homes) != len(v.slots) {
-		p.home(c.lost, t, len(v.slots))
-		p.linger = longest(c.tables, t.Name)
+		p.home(c.Lost, t, len(v.slots))
+		p.linger = longest(c.Tables, t.Name)
 	}
 	for i := range v.slots {
 		if i < len(recorded) {
@@ -131,16 +147,16 @@
 		}
 	}
 	for i := range t.Servers {
-		if s := c.servers[t.Servers[i].Name]; s != nil {
+		if s := c.Fleet.Server(t.Servers[i].Name); s != nil {
 			v.servers = append(v.servers, homes.Server{
-				Name: s.Name, Capacity: float64(s.Slots), Up: s.up, Leaving: s.parting(),
+				Name: s.Name, Capacity: float64(s.Slots), Up: s.Up, Leaving: s.Parting(),
 			})
 		}
 	}
 	return v
 }
 
-func (p *pool) home(lost []string, t *tables.Pool, n int) {
+func (p *Pool) home(lost []string, t *tables.Pool, n int) {
 	weights := homes.Weights(t, lost)
 	p.homes = make([]string, n)
 	for i := range p.homes {
@@ -161,20 +177,24 @@
 
 // plan brings the slots of a pool forward: decides moves, takes slots away where that is certain, records new
 // owners, and sets what each server may serve.
-func (c *Core) plan(now time.Time, t *tables.Pool) {
-	v := c.look(t)
-	c.settleAppend(now, v)
-	v.stopped = c.cutOff(now, v)
+func (c *Pass) plan(p *Pool, t *tables.Pool) {
+	v := c.look(p, t)
+	c.settleAppend(v)
+	v.stopped = c.cutOff(v)
 	if !c.superseded() {
-		c.decide(now, v)
-		c.progress(now, v)
-		c.record(now, v)
+		c.decide(v)
+		c.progress(v)
+		c.record(v)
+		if v.append == nil && !c.Log.Down && c.Cell.Ready && !c.Now.Before(v.retry) {
+			c.seize(t, p)
+		}
 	}
-	c.allot(now, v)
+	c.allot(v)
+	c.tellNotes(v)
 }
 
 // superseded reports whether a later term of another holder is in the log: this one then only renews grants.
-func (c *Core) superseded() bool { return c.cell.Term > c.Pair.Term }
+func (c *Pass) superseded() bool { return c.Cell.Term > c.Pair.Term }
 
 func (v *view) server(n string) (homes.Server, bool) {
 	for _, s := range v.servers {
@@ -186,14 +206,15 @@
 }
 
 // decide starts moves.
-func (c *Core) decide(now time.Time, v *view) {
+func (c *Pass) decide(v *view) {
 	for i, m := range v.moves {
 		s, ok := v.server(m.to)
-		if m.to != "" && (!ok || !s.Up || v.slots[i].DC == "" && v.homes[i] != c.DC) {
+		if m.to == "" && v.homes[i] == c.DC || m.to != "" && (!ok || !s.Up || v.slots[i].DC == "" && v.homes[i] != c.DC) {
 			delete(v.moves, i)
 		}
 	}
-	c.leaveHome(now, v)
+	c.leaveHome(v)
+	c.renewTokens(v)
 	list := make([]homes.Slot, len(v.mine))
 	var idle int
 	for k, i := range v.mine {
@@ -205,26 +226,26 @@
 	if idle > 0 {
 		for _, mv := range homes.Spread(v.servers, list) {
 			i := v.mine[mv.Slot]
-			if v.moves[i] == nil && c.vacant(now, v, i) {
-				c.start(now, v, i, mv.To)
+			if v.moves[i] == nil && c.vacant(v, i) {
+				c.start(v, i, mv.To)
 			}
 		}
 	}
-	if c.Balance == nil || now.Sub(v.balanced) < balanceEvery || idle > 0 || len(v.moves) > 0 {
+	if c.Balance == nil || c.Now.Sub(v.balanced) < balanceEvery || idle > 0 || len(v.moves) > 0 {
 		return
 	}
-	v.balanced = now
-	for _, mv := range c.Balance(v.name, now, v.servers, list) {
+	v.balanced = c.Now
+	for _, mv := range c.Balance(v.name, c.Now, v.servers, list) {
 		i := v.mine[mv.Slot]
 		if s, ok := v.server(mv.To); ok && s.Up && !s.Leaving && v.moves[i] == nil && v.slots[i].Owner != mv.To {
-			v.moves[i] = &move{to: mv.To, why: "balance", since: now, from: v.slots[i].Token}
+			v.moves[i] = &move{to: mv.To, why: "balance", since: c.Now, from: v.slots[i].Token}
 		}
 	}
-	c.tell(v, now)
+	c.tell(v)
 }
 
 // keeper returns the server that owns a slot or is about to, "" if it has to be given to another.
-func (c *Core) keeper(v *view, i uint32) string {
+func (c *Pass) keeper(v *view, i uint32) string {
 	if m := v.moves[i]; m != nil {
 		if m.to == "" {
 			return "-"
@@ -238,25 +259,25 @@
 }
 
 // vacant reports whether a slot without a usable owner may be given to another now.
-func (c *Core) vacant(now time.Time, v *view, i uint32) bool {
+func (c *Pass) vacant(v *view, i uint32) bool {
 	s := v.slots[i]
 	if s.DC == "" {
-		return !c.logdown || v.append == nil
+		return !c.Log.Down || v.append == nil
 	}
 	if s.Owner != "" {
 		return true
 	}
 	first, ok := v.orphans[i]
 	if !ok {
-		v.orphans[i] = now
+		v.orphans[i] = c.Now
 		return false
 	}
-	return now.Sub(first) >= c.seizeWait(v.name)
+	return c.Now.Sub(first) >= c.seizeWait(v.name)
 }
 
 // start begins to move a slot whose owner is missing, lost or leaving.
-func (c *Core) start(now time.Time, v *view, i uint32, to string) {
-	m := &move{to: to, since: now, stage: giving, from: v.slots[i].Token}
+func (c *Pass) start(v *view, i uint32, to string) {
+	m := &move{to: to, since: c.Now, stage: giving, from: v.slots[i].Token}
 	s, known := v.server(v.slots[i].Owner)
 	switch {
 	case v.slots[i].Owner == "":
@@ -272,19 +293,25 @@
 	c.note(v, m.why, v.slots[i].Owner, to, i)
 }
 
+// note is a decision about slots.
+type note struct {
+	why, from, to string
+}
+
 // note collects decisions, so that the log has one line for many slots moved for one reason.
-func (c *Core) note(v *view, why, from, to string, i uint32) {
-	for k := len(c.out) - 1; k >= 0; k-- {
-		e := c.out[k].Event
-		if e != nil && e.Name == "move" && e.Fields[1] == v.name && e.Fields[3] == why && e.Fields[5] == from && e.Fields[7] == to {
-			list := e.Fields[9].(*slotList)
-			list.add(i)
-			return
-		}
+func (c *Pass) note(v *view, why, from, to string, i uint32) {
+	n := note{why, from, to}
+	if v.notes[n] == nil {
+		v.notes[n] = &slotList{}
+		v.order = append(v.order, n)
+	}
+	v.notes[n].add(i)
+}
+
+func (c *Pass) tellNotes(v *view) {
+	for _, n := range v.order {
+		c.Event("move", "pool", v.name, "why", n.why, "from", n.from, "to", n.to, "slots", v.notes[n])
 	}
-	list := &slotList{}
-	list.add(i)
-	c.event("move", "pool", v.name, "why", why, "from", from, "to", to, "slots", list)
 }
 
 // slotList prints as ranges.
@@ -312,30 +339,51 @@
 }
 
 // tell logs the moves that the balancer just started.
-func (c *Core) tell(v *view, now time.Time) {
+func (c *Pass) tell(v *view) {
 	for _, i := range slices.Sorted(maps.Keys(v.moves)) {
-		if m := v.moves[i]; m.why == "balance" && m.since.Equal(now) {
+		if m := v.moves[i]; m.why == "balance" && m.since.Equal(c.Now) {
 			c.note(v, m.why, v.slots[i].Owner, m.to, i)
 		}
 	}
 }
 
-// leaveHome starts to drain slots whose home is another data centre now. That needs the log.
-func (c *Core) leaveHome(now time.Time, v *view) {
-	if c.logdown {
+// leaveHome starts to drain slots whose home is another data centre c.Now. That needs the log.
+func (c *Pass) leaveHome(v *view) {
+	if c.Log.Down {
 		return
 	}
 	for _, i := range v.mine {
 		s := v.slots[i]
-		if s.DC == c.DC && v.homes[i] != c.DC && v.homes[i] != "" && v.moves[i] == nil {
-			v.moves[i] = &move{why: "home", since: now, from: s.Token}
+		if s.DC == c.DC && v.homes[i] != c.DC && v.homes[i] != "" && v.moves[i] == nil && c.reachable(v.homes[i]) {
+			v.moves[i] = &move{why: "home", since: c.Now, from: s.Token}
 			c.note(v, "home", s.Owner, v.homes[i], i)
 		}
 	}
 }
 
+// reachable reports whether another data centre answers. Slots seized from one that does not stay here until it does.
+func (c *Pass) reachable(dc string) bool {
+	return c.Remote == nil || c.Now.Sub(c.Remote(dc)) < unreachable
+}
+
+// renewTokens gives the slots of a server that has seen higher tokens to the same server with new ones.
+func (c *Pass) renewTokens(v *view) {
+	for _, i := range v.mine {
+		cur := v.slots[i]
+		s := c.Fleet.Server(cur.Owner)
+		if s == nil || !s.Stale || v.moves[i] != nil || fleet.Has(s.Granted, i, cur.Token) {
+			continue
+		}
+		v.moves[i] = &move{to: cur.Owner, why: "token", since: c.Now, stage: giving, bump: true, from: cur.Token}
+		c.note(v, "token", cur.Owner, cur.Owner, i)
+	}
+	for _, sv := range v.servers {
+		c.Fleet.Server(sv.Name).Stale = false
+	}
+}
+
 // progress takes slots away from their owners.
-func (c *Core) progress(now time.Time, v *view) {
+func (c *Pass) progress(v *view) {
 	for i, m := range v.moves {
 		s := v.slots[i]
 		if (m.to == "" && s.DC != c.DC) || (m.to != "" && s.Owner == m.to && s.DC == c.DC && (!m.bump || s.Token > m.from)) {
@@ -343,12 +391,12 @@
 			delete(v.orphans, i)
 			continue
 		}
-		owner := c.servers[s.Owner]
-		if m.stage == draining && (owner == nil || c.table.Clear(now, lane(v.name, s.Owner), i) ||
-			(owner.Checks && now.Sub(m.since) >= drainMax)) {
+		owner := c.Fleet.Server(s.Owner)
+		if m.stage == draining && (owner == nil || c.Lanes.Clear(c.Now, lane(v.name, s.Owner), i) ||
+			(owner.Checks && c.Now.Sub(m.since) >= drainMax)) {
 			m.stage = revoking
 		}
-		if m.stage == revoking && c.free(now, v, i, "") && (m.to != "" || !now.Before(c.settle)) {
+		if m.stage == revoking && c.free(v, i, "") && (m.to != "" || !c.Now.Before(c.Settle)) {
 			m.stage = giving
 		}
 	}
@@ -357,26 +405,26 @@
 // lane names the lane of a server of a keyed pool.
 func lane(pool, server string) string { return pool + "/" + server }
 
-// free reports whether at now nobody but server may serve the slot.
-func (c *Core) free(now time.Time, v *view, i uint32, server string) bool {
+// free reports whether at Now nobody but server may serve the slot.
+func (c *Pass) free(v *view, i uint32, server string) bool {
 	key := ""
-	if s := c.servers[server]; s != nil && s.Checks {
-		key = s.key()
+	if s := c.Fleet.Server(server); s != nil && s.Checks {
+		key = s.Key()
 	}
-	return c.expose.Free(v.name, i, key, now) && c.table.Unused(now, v.name, lane(v.name, server), i)
+	return c.Fleet.Expose.Free(v.name, i, key, c.Now) && c.Lanes.Unused(c.Now, v.name, lane(v.name, server), i)
 }
 
 // settled reports whether a slot may be granted although earlier pairs may still have granted it: they gave it to
 // this very server, by the server's own word after which nobody else could get it.
-func (c *Core) settled(now time.Time, v *view, i uint32, s *server, token uint64) bool {
+func (c *Pass) settled(v *view, i uint32, s *fleet.Server, token uint64) bool {
 	if !s.Checks {
-		return !now.Before(c.settle.Add(v.linger))
+		return !c.Now.Before(c.Settle.Add(v.linger))
 	}
-	return !now.Before(c.settle) || s.reported[i] == token
+	return !c.Now.Before(c.Settle) || s.Reported[i] == token
 }
 
 // allot sets what each server may serve.
-func (c *Core) allot(now time.Time, v *view) {
+func (c *Pass) allot(v *view) {
 	sets := make(map[string][]grants.Range)
 	for _, i := range v.mine {
 		cur := v.slots[i]
@@ -386,23 +434,16 @@
 		if m := v.moves[i]; m != nil && m.stage != draining {
 			continue
 		}
-		s := c.servers[cur.Owner]
-		if s == nil || s.pool != v.name || (s.Checks && !s.confirmed) {
+		s := c.Fleet.Server(cur.Owner)
+		if s == nil || s.Pool != v.name || (s.Checks && !s.Confirmed) {
 			continue
 		}
-		if has(s.set, i, cur.Token) || (c.settled(now, v, i, s, cur.Token) && c.free(now, v, i, s.Name)) {
+		if fleet.Has(s.Set, i, cur.Token) || (c.settled(v, i, s, cur.Token) && c.free(v, i, s.Name)) {
 			sets[s.Name] = extend(sets[s.Name], v.name, i, cur.Token)
 		}
 	}
 	for _, sv := range v.servers {
-		s := c.servers[sv.Name]
-		if set := sets[s.Name]; !slices.Equal(set, s.set) {
-			s.set, s.urgent = set, true
-			s.spans = make([]lease.Span, len(set))
-			for k, r := range set {
-				s.spans[k] = lease.Span{Pool: r.Pool, First: r.First, Last: r.Last}
-			}
-		}
+		c.Fleet.Server(sv.Name).Allot(sets[sv.Name])
 	}
 }
 
@@ -414,46 +455,30 @@
 	return append(set, grants.Range{Pool: pool, First: i, Last: i, Token: token})
 }
 
-func has(set []grants.Range, i uint32, token uint64) bool {
-	k, found := slices.BinarySearchFunc(set, i, func(r grants.Range, s uint32) int { return cmp.Compare(r.First, s) })
-	if !found {
-		k--
-	}
-	return k >= 0 && set[k].Last >= i && set[k].Token == token
-}
-
 // settleAppend ends the append in flight when its effect is known, or when waiting longer is useless.
-func (c *Core) settleAppend(now time.Time, v *view) {
+func (c *Pass) settleAppend(v *view) {
 	if v.append == nil {
 		return
 	}
-	done, late := v.append.over(now, c.place.Offset())
+	done, late := c.Log.Over(c.Now, v.append, c.Place.Offset())
 	if !done {
 		return
 	}
 	v.append = nil
-	c.logState(late)
 	if late {
-		v.retry = now.Add(retryEvery)
-	}
-}
-
-func (c *Core) logState(down bool) {
-	if down != c.logdown {
-		c.logdown, c.LogDown = down, down
-		c.event("log", "down", down)
+		v.retry = c.Now.Add(retryEvery)
 	}
 }
 
 // record appends the moves whose slot is taken away. While the log does not answer they take effect without it.
-func (c *Core) record(now time.Time, v *view) {
-	if c.logdown {
+func (c *Pass) record(v *view) {
+	if c.Log.Down {
 		c.override(v)
 	}
-	if v.append != nil || now.Before(v.retry) || !c.cell.Ready || c.cell.Term != c.Pair.Term {
+	if v.append != nil || c.Now.Before(v.retry) || !c.Cell.Ready || c.Cell.Term != c.Pair.Term {
 		return
 	}
-	if c.releaseHomes(now, v) {
+	if c.releaseHomes(v) {
 		return
 	}
 	var changes []*record.Change
@@ -472,17 +497,17 @@
 		}
 	}
 	yield := v.cfg.Yield
-	if len(changes) == 0 && (yield == c.place.Yield(v.name, c.DC) || c.place.Version(v.name, c.DC) == 0) {
+	if len(changes) == 0 && (yield == c.Place.Yield(v.name, c.DC) || c.Place.Version(v.name, c.DC) == 0) {
 		return
 	}
-	v.append = c.append(now, &record.Record{Kind: &record.Record_Assign{Assign: &record.Assign{
-		Dc: c.DC, Pool: v.name, Term: c.cell.Term, Base: c.place.Version(v.name, c.DC), Changes: changes,
+	v.append = c.Log.Append(c.Now, &record.Record{Kind: &record.Record_Assign{Assign: &record.Assign{
+		Dc: c.DC, Pool: v.name, Term: c.Cell.Term, Base: c.Place.Version(v.name, c.DC), Changes: changes,
 		Slots: uint32(len(v.slots)), Yield: yield.Milliseconds(),
 	}}})
 }
 
 // releaseHomes gives up the home of slots that nobody serves any more, and reports whether it appended.
-func (c *Core) releaseHomes(now time.Time, v *view) bool {
+func (c *Pass) releaseHomes(v *view) bool {
 	var slots []uint32
 	for _, i := range v.mine {
 		if m := v.moves[i]; m != nil && m.to == "" && m.stage == giving {
@@ -492,14 +517,14 @@
 	if len(slots) == 0 {
 		return false
 	}
-	v.append = c.append(now, &record.Record{Kind: &record.Record_Release{Release: &record.Release{
-		Dc: c.DC, Pool: v.name, Term: c.cell.Term, Base: c.place.Version(v.name, c.DC), Slots: slots,
+	v.append = c.Log.Append(c.Now, &record.Record{Kind: &record.Record_Release{Release: &record.Release{
+		Dc: c.DC, Pool: v.name, Term: c.Cell.Term, Base: c.Place.Version(v.name, c.DC), Slots: slots,
 	}}})
 	return true
 }
 
 // override moves slots without the log.
-func (c *Core) override(v *view) {
+func (c *Pass) override(v *view) {
 	for i, m := range v.moves {
 		s := v.slots[i]
 		if m.stage != giving || m.to == "" || s.DC != c.DC {
@@ -514,6 +539,5 @@
 		delete(v.moves, i)
 		delete(v.orphans, i)
 		c.note(v, "unlogged", s.Owner, m.to, i)
-		c.dirty = true
 	}
 }
