Hand over the control role without a pause

A new holder answers with lanes only after its first grants, leaves lanes with their dispatchers, and members ask again soon while it has no authority yet. A holder renews its own term only when no slot has moved for 4.4 s, and reports of servers older than 0.5 s no longer count at takeover: an unnoticed successor could otherwise have renewed a grant that the holder had just moved.

--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -52,6 +52,7 @@
 	lanes   []*peerpb.Lane
 	unsent  *peerpb.HeartbeatRequest // releases and strikes of a heartbeat that was not answered
 	tries   int                      // unanswered heartbeats in a row
+	waits   int                      // answers without authority in a row
 	kick    chan struct{}
 }
 
@@ -86,16 +87,34 @@
 	tick := time.NewTicker(lease.Interval)
 	defer tick.Stop()
 	for {
-		m.Beat(ctx, time.Now())
+		// A controller that is taking over has authority soon, and with it lanes.
+		var soon <-chan time.Time
+		if !m.Beat(ctx, time.Now()) && m.hasty() {
+			soon = time.After(hurry)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-soon:
 		case <-m.kick:
 		}
 	}
 }
 
+const (
+	hurry   = 50 * time.Millisecond
+	hurries = 10 // heartbeats in a row that are sent early
+)
+
+// hasty reports whether the next heartbeat should come early, since the last answer was of a controller that had no
+// authority yet.
+func (m *Member) hasty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waits > 0 && m.waits <= hurries
+}
+
 // Beat sends one heartbeat, begun at now, and takes its reply in. It reports whether a controller with authority
 // answered.
 func (m *Member) Beat(ctx context.Context, now time.Time) bool {
@@ -232,6 +251,10 @@
 		return false
 	}
 	m.tries = 0
+	m.waits++
+	if rep.GetAccepted() {
+		m.waits = 0
+	}
 	fresh := rep.GetAccepted() && (m.last.pair != pair || rep.GetView() != req.GetKnown())
 	view := m.last.view
 	if rep.GetAccepted() {
--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -79,10 +79,17 @@
 			c.shown[id] = now
 		} else if now.Sub(last) >= goneAfter {
 			c.fence.Confirm(id, now)
-			c.quorum.Gone(id, true)
+			c.gone(id, true)
 			continue
 		}
-		c.quorum.Gone(id, false)
+		c.gone(id, false)
+	}
+}
+
+func (c *Core) gone(id string, gone bool) {
+	c.quorum.Gone(id, gone)
+	if c.next != nil {
+		c.next.Gone(id, gone)
 	}
 }
 
@@ -167,6 +174,11 @@
 	if c.leaving || c.tables == nil || now.Before(c.backoff) {
 		return
 	}
+	if p := (lease.Pair{Term: c.cell.Term}); c.cell.Holder == c.ID && c.high == p {
+		// A claim whose answer was lost has taken effect after all.
+		c.begin(now, p, false)
+		return
+	}
 	at, why := c.due(now)
 	if now.Before(at) {
 		return
@@ -285,6 +297,7 @@
 		c.Pair = p
 		c.reset()
 		c.peers = peers
+		c.table.Prior(c.roster)
 	}
 	c.fleet.Begin(now, p, renewing)
 	c.Pair, c.high, c.heard, c.weak = p, p, now, time.Time{}
@@ -332,6 +345,7 @@
 	}
 	if c.quorum.Holds(now) {
 		c.settle = c.fence.Lapsed()
+		c.fleet.Expire(now)
 		c.doubt()
 		c.event("authority", "pair", c.Pair, "settled", c.settle.Sub(now))
 		c.enter(now, Serving)
@@ -345,8 +359,9 @@
 }
 
 // renewed switches to the new term of a holder that had authority all along. A successor of the old term that
-// displaced it meanwhile did so at most D ago, so it has moved nothing yet; but it may have renewed what a server
-// reported to it. That matters only for servers that have not confirmed the new term and had an unexpired grant then.
+// displaced it meanwhile did so at most D ago. Until D+L have passed it only renews what servers lately reported to
+// it, and since no slot moved for quietFor, that is what this holder grants too. Servers that have not confirmed the
+// new term and may have reported then are kept in doubt all the same.
 func (c *Core) renewed(now time.Time) {
 	if !c.quorum.Holds(now) {
 		c.begin(now, c.Pair, false)
--- a/internal/place/ctrl/core.go
+++ b/internal/place/ctrl/core.go
@@ -85,8 +85,10 @@
 	listed  bool // a list was received
 	contact time.Time
 	leaving bool
+	roster  []*peerpb.Member
 
 	since      time.Time // start of the state
+	folded     uint64    // offset of the fold in the last step
 	cell       fold.Cell
 	cellSeen   time.Time // when the current term appeared in the fold
 	high       lease.Pair
@@ -100,7 +102,9 @@
 	next     *lease.Quorum // of the new term while renewing
 	fence    *lease.Fence
 	settle   time.Time // when everything granted by earlier pairs has lapsed
+	opened   bool      // lanes are answered with
 	renewing bool      // a holder with authority that claims a new term for itself
+	moved    time.Time // when a slot was last on the move
 	drift    time.Time // since when the witness set has differed from what is alive
 	shown    map[string]time.Time
 	retry    time.Time // next Ready append
@@ -127,6 +131,7 @@
 	Authority time.Time // until when, by the last confirmations
 	Moves     int       // slots being moved
 	Unlogged  int       // moves that are not in the log yet
+	LogDown   bool      // the log did not answer the last append in time
 }
 
 // New returns an idle core.
@@ -144,7 +149,7 @@
 	c.book = beats.Book{}
 	c.table = lanes.New(c.Pair)
 	c.quorum, c.fence, c.term, c.ready = nil, nil, nil, nil
-	c.renewing, c.drift = false, time.Time{}
+	c.renewing, c.opened, c.drift = false, false, time.Time{}
 }
 
 // Tables replaces the tables. lost are the data centres that operators declare destroyed.
@@ -158,6 +163,9 @@
 // List replaces the platform's list, received at now.
 func (c *Core) List(l roster.List) { c.list, c.listed, c.dirty, c.synced = l, true, true, false }
 
+// Roster notes which instance dispatches which lane, by the word of the controller.
+func (c *Core) Roster(members []*peerpb.Member) { c.roster = members }
+
 // Leave makes the core give the role to another instance and claim it no more.
 func (c *Core) Leave() { c.leaving = true }
 
@@ -246,6 +254,9 @@
 // watch takes in what changed in the fold and the list.
 func (c *Core) watch(now time.Time) {
 	cell := c.place.Cell(c.DC)
+	if c.place.Offset() != c.folded {
+		c.folded, c.dirty = c.place.Offset(), true
+	}
 	if cell.Term != c.cell.Term {
 		c.cellSeen = now
 		if p := (lease.Pair{Term: cell.Term}); p.Compare(c.high) > 0 {
--- a/internal/place/ctrl/serve.go
+++ b/internal/place/ctrl/serve.go
@@ -12,9 +12,17 @@
 )
 
 const (
-	// planEvery bounds how often the slots are gone through while something is under way, and idleEvery otherwise.
+	// The slots are gone through every planEvery while something is under way, otherwise every idleEvery, and never
+	// more often than planLeast: a pass over 65,536 slots takes milliseconds.
+	planLeast = 10 * time.Millisecond
 	planEvery = 50 * time.Millisecond
 	idleEvery = lease.Interval
+	// opening is the longest time that a new holder waits for its first grants before it answers with lanes. Until then
+	// members go on with the lanes of the earlier pair, whose slots they would otherwise drop for a moment.
+	opening = 200 * time.Millisecond
+	// quietFor is how long no slot may have moved before a holder renews its term. It exceeds by far D, which is how
+	// long an unnoticed successor of the old term may have had authority, plus the age of reports that it may use.
+	quietFor = 2 * (lease.D + lease.L)
 )
 
 func keys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -30,7 +38,7 @@
 	if c.superseded() {
 		if c.cell.Holder == c.ID {
 			if !c.renewing || c.Pair.Term != c.cell.Term {
-				c.begin(now, lease.Pair{Term: c.cell.Term}, c.quorum.Holds(now))
+				c.begin(now, lease.Pair{Term: c.cell.Term}, c.quorum.Holds(now) && c.quiet(now))
 			}
 		} else if !c.quorum.Holds(now) {
 			c.yieldTo(now, lease.Pair{Term: c.cell.Term}, "superseded")
@@ -49,7 +57,8 @@
 	c.dirty = c.fleet.Changed() || c.dirty
 	c.refence(now)
 	c.fleet.Expose.Prune(now)
-	if c.dirty || now.Sub(c.planned) >= idleEvery || (c.Moves+c.Unlogged > 0 && now.Sub(c.planned) >= planEvery) {
+	if since := now.Sub(c.planned); since >= idleEvery || (c.dirty && since >= planLeast) ||
+		(c.Moves+c.Unlogged > 0 && since >= planEvery) {
 		c.arrange(now)
 	}
 	c.announce(now)
@@ -73,11 +82,27 @@
 	pass := slots.Pass{
 		Now: now, DC: c.DC, Pair: c.Pair, Cell: c.cell, Place: c.place, Tables: c.tables, Lost: c.lost,
 		Settle: c.settle, Contact: c.contact, Fleet: c.fleet, Lanes: c.table, Log: &c.log,
-		Event: c.event, Remote: c.Remote, Balance: c.Balance,
+		Event: c.event, Remote: c.Remote, Balance: c.Balance, Frozen: c.superseded() || c.renewing || c.term != nil,
+	}
+	if !c.drift.IsZero() {
+		// Planned moves would put the renewal of the term off.
+		pass.Balance = nil
 	}
 	c.Moves, c.Unlogged = pass.Arrange(c.pools)
+	c.LogDown = c.log.Down
+	c.opened = c.opened || !c.fleet.Behind() || now.Sub(c.since) >= opening
+	if c.Moves+c.Unlogged > 0 {
+		c.moved = now
+	}
 }
 
+// Dirty reports whether a holder has to go through its slots again soon.
+func (c *Core) Dirty() bool { return c.dirty && c.State == Serving }
+
+// quiet reports whether no slot has moved for so long that a successor of the old term, if there was one unnoticed,
+// can have renewed only what this holder also grants.
+func (c *Core) quiet(now time.Time) bool { return now.Sub(c.moved) >= quietFor }
+
 // announce records that earlier terms are displaced, which Assign records require.
 func (c *Core) announce(now time.Time) {
 	if c.ready != nil {
@@ -111,7 +136,7 @@
 	if c.drift.IsZero() {
 		c.drift = now
 	}
-	if now.Sub(c.drift) < drifting || c.Unlogged > 0 || !c.authority(now) {
+	if now.Sub(c.drift) < drifting || !c.quiet(now) || !c.authority(now) {
 		return
 	}
 	for _, p := range c.peers {
@@ -161,7 +186,7 @@
 	c.take(now, req)
 	rep := &peerpb.HeartbeatReply{Term: c.Pair.Term, Epoch: c.Pair.Epoch}
 	c.book.Reply(now, id, rep)
-	if c.authority(now) {
+	if c.authority(now) && c.opened {
 		rep.Accepted, rep.Lease = true, lease.L.Milliseconds()
 		c.table.Fill(now, id, req.GetKnown(), rep)
 	}
@@ -181,7 +206,7 @@
 	for _, r := range req.GetServers() {
 		if s := c.fleet.Report(r); s != nil && c.pools[s.Pool] != nil {
 			for _, l := range r.GetSlots() {
-				c.pools[s.Pool].Load(l.GetSlot(), l.GetRate())
+				c.pools[s.Pool].Load(now, l.GetSlot(), l.GetRate())
 			}
 		}
 	}
--- a/internal/place/drive/drive.go
+++ b/internal/place/drive/drive.go
@@ -47,6 +47,7 @@
 
 const (
 	stepEvery     = 50 * time.Millisecond
+	stepSoon      = 10 * time.Millisecond // when something has changed that was not planned for yet
 	appendTimeout = 2 * time.Second // longer than the controller waits: a late answer still tells that the log is back
 	callTimeout   = lease.Interval
 )
@@ -64,6 +65,10 @@
 // SetList replaces the platform's list.
 func (d *Driver) SetList(l roster.List) { d.locked(func() { d.core.List(l) }) }
 
+// SetRoster notes which instance dispatches which lane, as the member side learns it. A new controller leaves the lanes
+// with them.
+func (d *Driver) SetRoster(members []*peerpb.Member) { d.locked(func() { d.core.Roster(members) }) }
+
 // Leave makes the instance give the role to another one.
 func (d *Driver) Leave() { d.locked(d.core.Leave) }
 
@@ -128,30 +133,34 @@
 func (d *Driver) Run(ctx context.Context) {
 	var calls conc.WaitGroup
 	defer calls.Wait()
-	tick := time.NewTicker(stepEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
-		for _, a := range d.step() {
+		actions, soon := d.step()
+		for _, a := range actions {
 			d.perform(ctx, &calls, a)
 		}
+		timer.Reset(stepEvery)
+		if soon {
+			timer.Reset(stepSoon)
+		}
 		select {
 		case <-ctx.Done():
-		case <-tick.C:
+		case <-timer.C:
 		case <-d.kick:
 		}
 	}
 }
 
-func (d *Driver) step() []ctrl.Action {
+func (d *Driver) step() (out []ctrl.Action, soon bool) {
 	contact := time.Time{}
 	if d.LogContact != nil {
 		contact = d.LogContact()
 	}
-	var out []ctrl.Action
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.View(func(p *fold.Place) { out = d.core.Step(time.Now(), p, contact) })
-	return out
+	return out, d.core.Dirty()
 }
 
 func (d *Driver) perform(ctx context.Context, calls *conc.WaitGroup, a ctrl.Action) {
--- a/internal/place/drive/rig_test.go
+++ b/internal/place/drive/rig_test.go
@@ -281,6 +281,7 @@
 			return nil, errDown
 		},
 		Serve: n.driver.Heartbeat, Heard: n.driver.Heard, Update: n.update,
+		Roster: func(members []*peerpb.Member, _ []*peerpb.Owner) { n.driver.SetRoster(members) },
 		Released: func() []*peerpb.Release {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/place/fleet/fleet.go
+++ b/internal/place/fleet/fleet.go
@@ -14,11 +14,14 @@
 )
 
 const (
-	detect    = time.Second            // a checking server that has not answered for this long is lost
-	reportAge = 500 * time.Millisecond // longest time between a server's report and its confirmation
-	readAge   = 2 * lease.Interval     // a clock reading older than this is renewed before a grant
+	detect  = time.Second        // a checking server that has not answered for this long is lost
+	readAge = 2 * lease.Interval // a clock reading older than this is renewed before a grant
 )
 
+// ReportAge is the longest time between a server's report and its confirmation, and between the report and authority,
+// for the report to count.
+const ReportAge = 500 * time.Millisecond
+
 // Order is a call to a server. Its result goes to Answered with the same id.
 type Order struct {
 	Server string
@@ -243,7 +246,7 @@
 func (f *Fleet) accepted(now time.Time, s *Server, r grants.Reply) {
 	f.Expose.Accepted(s.Key(), s.id)
 	if s.step == fencing {
-		if now.Sub(s.probed) > reportAge {
+		if now.Sub(s.probed) > ReportAge {
 			s.Reported = nil
 		}
 		s.step = regular
@@ -270,6 +273,16 @@
 	}
 }
 
+// Behind reports whether a server that answers has not confirmed the pair or not accepted its current set yet.
+func (f *Fleet) Behind() bool {
+	for _, s := range f.servers {
+		if s.Checks && s.Alive && (!s.Confirmed || !slices.Equal(s.Set, s.Granted)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Liveness notes at now which servers may be given work.
 func (f *Fleet) Liveness(now time.Time) {
 	for _, s := range f.All() {
@@ -306,5 +319,12 @@
 	}
 }
 
-// ReportAge is the longest time between a server's report and its confirmation for the report to count.
-const ReportAge = reportAge
+// Expire drops reports that are too old at now to tell who holds a slot. A holder of the old pair that renews its
+// term relies on it.
+func (f *Fleet) Expire(now time.Time) {
+	for _, s := range f.servers {
+		if now.Sub(s.probed) > ReportAge {
+			s.Reported = nil
+		}
+	}
+}
--- a/internal/place/lanes/lanes.go
+++ b/internal/place/lanes/lanes.go
@@ -56,8 +56,10 @@
 	lanes   map[string]*lane
 	members map[string]*member
 	owners  []*peerpb.Owner
+	prior   map[string]string // dispatchers under the earlier pair
 	counter uint64
-	shared  uint64 // view of what all members see
+	started time.Time // first election
+	shared  uint64    // view of what all members see
 }
 
 // New returns a table whose revisions and views are above those of all earlier pairs.
@@ -68,6 +70,9 @@
 	}
 }
 
+// patience is how long a lane waits for a sign of life of the instance that dispatched it under the earlier pair.
+const patience = 150 * time.Millisecond
+
 // forget is how long a silent instance is kept, so that one that returns is not taken for a new one.
 const forget = time.Minute
 
@@ -82,6 +87,17 @@
 	return t.counter
 }
 
+// Prior sets which instance dispatched each lane under the earlier pair, as far as is known. It keeps the lane if it
+// is heard.
+func (t *Table) Prior(members []*peerpb.Member) {
+	t.prior = make(map[string]string)
+	for _, m := range members {
+		for _, name := range m.GetLanes() {
+			t.prior[name] = m.GetInstance()
+		}
+	}
+}
+
 // Beat notes a sign of life of an instance at now.
 func (t *Table) Beat(now time.Time, id, peer string, leaving bool) {
 	m := t.members[id]
@@ -171,6 +187,9 @@
 // since a dispatcher of an earlier pair may still be at work. It reports whether anything changed.
 func (t *Table) Elect(now, open time.Time) bool {
 	before := t.counter
+	if t.started.IsZero() {
+		t.started = now
+	}
 	var able []string
 	for id, m := range t.members {
 		if up := now.Sub(m.seen) <= lease.Stretch(lease.L); up != m.up {
@@ -217,7 +236,14 @@
 	if len(able) == 0 || (l.Linger > 0 && now.Before(open.Add(l.Linger))) {
 		return
 	}
-	l.holder, l.drawn, l.revision = homes.Rank(l.Name, able)[0], false, t.next()
+	best := homes.Rank(l.Name, able)[0]
+	if id := t.prior[l.Name]; slices.Contains(able, id) {
+		best = id
+	} else if id != "" && now.Sub(t.started) < patience && t.members[id] == nil {
+		return
+	}
+	delete(t.prior, l.Name)
+	l.holder, l.drawn, l.revision = best, false, t.next()
 	t.touch(l.holder)
 	t.shared = t.next()
 }
--- a/internal/place/slots/lanes.go
+++ b/internal/place/slots/lanes.go
@@ -47,8 +47,8 @@
 // Refresh makes the next pass compute the homes anew, after a change of the tables.
 func (p *Pool) Refresh() { p.homes = nil }
 
-// Load notes the request rate of a slot.
-func (p *Pool) Load(slot uint32, rate float64) { p.load[slot] = rate }
+// Load notes the request rate of a slot at now.
+func (p *Pool) Load(now time.Time, slot uint32, value float64) { p.load[slot] = rate{value, now} }
 
 func (p *Pool) owners(n string) []*peerpb.Owner {
 	var out []*peerpb.Owner
--- a/internal/place/slots/slots.go
+++ b/internal/place/slots/slots.go
@@ -55,18 +55,34 @@
 	over     map[uint32]fold.Slot
 	moves    map[uint32]*move
 	orphans  map[uint32]time.Time // slots seized without an owner yet, and when first seen
-	load     map[uint32]float64
+	load     map[uint32]rate
 	append   *Pending
 	retry    time.Time
 	balanced time.Time
 	stopped  bool // cut off from the log for longer than yield
 }
 
+// rate is the load of a slot as a dispatcher reported it. Only the hottest slots are reported, so that silence means
+// little load.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+const rateAge = 3 * time.Second
+
+func (p *Pool) rate(slot uint32, now time.Time) float64 {
+	if r := p.load[slot]; now.Sub(r.at) < rateAge {
+		return r.value
+	}
+	return 0
+}
+
 // New returns the state of a pool of which nothing is known.
 func New() *Pool {
 	return &Pool{
 		over: make(map[uint32]fold.Slot), moves: make(map[uint32]*move),
-		orphans: make(map[uint32]time.Time), load: make(map[uint32]float64),
+		orphans: make(map[uint32]time.Time), load: make(map[uint32]rate),
 	}
 }
 
@@ -84,6 +100,7 @@
 	Fleet   *fleet.Fleet
 	Lanes   *lanes.Table
 	Log     *Log
+	Frozen  bool // no slot may move now
 	Event   func(name string, fields ...any)
 	Remote  func(dc string) time.Time
 	Balance func(pool string, now time.Time, servers []homes.Server, slots []homes.Slot) []homes.Move
@@ -181,7 +198,7 @@
 	v := c.look(p, t)
 	c.settleAppend(v)
 	v.stopped = c.cutOff(v)
-	if !c.superseded() {
+	if !c.Frozen {
 		c.decide(v)
 		c.progress(v)
 		c.record(v)
@@ -193,9 +210,6 @@
 	c.tellNotes(v)
 }
 
-// superseded reports whether a later term of another holder is in the log: this one then only renews grants.
-func (c *Pass) superseded() bool { return c.Cell.Term > c.Pair.Term }
-
 func (v *view) server(n string) (homes.Server, bool) {
 	for _, s := range v.servers {
 		if s.Name == n {
@@ -218,7 +232,7 @@
 	list := make([]homes.Slot, len(v.mine))
 	var idle int
 	for k, i := range v.mine {
-		list[k] = homes.Slot{Owner: c.keeper(v, i), Load: v.load[i]}
+		list[k] = homes.Slot{Owner: c.keeper(v, i), Load: v.rate(i, c.Now)}
 		if list[k].Owner == "" {
 			idle++
 		}
