--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -363,15 +363,7 @@
 // awaitServers reports whether a renewal should wait for live servers to confirm the new term. Instances alone often
 // complete the fence first; every server that has not confirmed by then leaves its pool unserved for D + L.
 func (c *Core) awaitServers(now time.Time) bool {
-	if c.quorum.Until().Sub(now) < lease.Interval {
-		return false
-	}
-	for _, s := range c.servers {
-		if s.Checks && !s.confirmed && s.lapse.After(now) {
-			return true
-		}
-	}
-	return false
+	return c.quorum.Until().Sub(now) >= lease.Interval && c.fleet.Behind()
 }
 
 // renewed switches to the new term of a holder that had authority all along. A successor of the old term that
