Wire the ledger, quarantine and address translation into the daemon

Cause: once routes were refused, strikes were dropped, and tests could not cut single pairs of processes. A refusal without a claim said not-run although an earlier try of the same work may have run through another instance.

--- a/internal/edge/front/filter.go
+++ b/internal/edge/front/filter.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/edge/route"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 )
 
@@ -40,7 +41,10 @@
 func (f *Front) match(x *call, next func() (work.Answer, error)) (work.Answer, error) {
 	t := f.cfg.Tables()
 	if t == nil {
-		return work.Answer{}, work.Refuse(ReasonTables, time.Second)
+		// The request may be a resend of work that another instance has run.
+		return work.Answer{}, &result.Error{
+			Verdict: result.MayHaveRun, Status: fasthttp.StatusServiceUnavailable, Reason: ReasonTables, RetryAfter: time.Second,
+		}
 	}
 	var err error
 	if x.Match, err = route.Extract(t, &x.http.Request, caller(x.http), x.start); err != nil {
@@ -67,7 +71,8 @@
 	return next()
 }
 
-// ledger claims work that must not repeat before it is run.
+// ledger claims work that must not repeat before it is run. It comes before every filter that refuses: only a claim
+// tells whether an earlier try of the same work has run, so that a refusal may say that it has not.
 func (f *Front) ledger(x *call, next func() (work.Answer, error)) (work.Answer, error) {
 	if x.Once == nil {
 		return next()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -1,5 +1,5 @@
-// Package front is the listener for callers. It passes each request through filters in order (route, quarantine,
-// ledger, send) and writes the whole answer, or an error that says whether the work may have run.
+// Package front is the listener for callers. It passes each request through filters in order (route, ledger,
+// quarantine, send) and writes the whole answer, or an error that says whether the work may have run.
 package front
 
 import (
@@ -89,7 +89,7 @@
 func New(cfg Config) *Front {
 	cfg.defaults()
 	f := &Front{cfg: cfg}
-	f.filters = []filter{f.match, f.quarantine, f.ledger}
+	f.filters = []filter{f.match, f.ledger, f.quarantine}
 	f.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, DisableDefaultContentType: true, ErrorHandler: f.malformed,
 		BodyLimit: cfg.MaxBody, ReadBufferSize: cfg.MaxHeader, Concurrency: 2 * cfg.MaxConns,
--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -79,6 +79,7 @@
 		if err != nil {
 			continue
 		}
+		addr = ln.stage.cfg.Via(addr)
 		i := slices.IndexFunc(ln.servers, func(b *backend) bool { return b.same(d, addr) })
 		if i < 0 {
 			next = append(next, newBackend(d, addr))
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 	Succeeded func(now time.Time, fingerprint [16]byte)
 	// Freed is called when Released has something to report, with locks held: it must return at once.
 	Freed func()
+	// Via returns the address to dial for a server. nil means the server's own address.
+	Via func(netip.AddrPort) netip.AddrPort
 	// Seed of the waits before retries.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -75,6 +78,9 @@
 	if cfg.Servers == nil {
 		cfg.Servers = func(string) []tables.Server { return nil }
 	}
+	if cfg.Via == nil {
+		cfg.Via = func(a netip.AddrPort) netip.AddrPort { return a }
+	}
 	if cfg.Leaving == nil {
 		cfg.Leaving = func(string) bool { return false }
 	}
--- a/internal/oper/config/config.go
+++ b/internal/oper/config/config.go
@@ -22,6 +22,8 @@
 	Log       netip.AddrPort // log service
 	List      netip.AddrPort // instance list
 	Seeds     []netip.AddrPort
+	// Proxies maps addresses of the list and the pool table to those that this instance has to dial instead.
+	Proxies map[netip.AddrPort]netip.AddrPort
 
 	Linger time.Duration // how long a stopping instance keeps accepting
 	Budget int           // appends a second that all instances together may make to the ledger
--- a/internal/oper/config/read.go
+++ b/internal/oper/config/read.go
@@ -12,7 +12,7 @@
 
 var fields = []string{
 	"instance", "dc", "region", "caller", "peer", "admin", "advertise", "log", "list", "seeds",
-	"linger", "budget", "debug", "limits",
+	"linger", "budget", "debug", "limits", "proxies",
 }
 
 const (
@@ -68,6 +68,12 @@
 	} else if cfg.Peer.IsValid() && cfg.Peer.Addr().IsUnspecified() {
 		o.Get("peer").Fault("%s listens on all addresses, so advertise must name the one that other instances use", cfg.Peer)
 	}
+	if o.Has("proxies") {
+		cfg.Proxies = make(map[netip.AddrPort]netip.AddrPort)
+		for _, e := range o.Get("proxies").Entries() {
+			cfg.Proxies[e.Name.Address()] = remote(e.Value)
+		}
+	}
 	if !o.Has("seeds") {
 		return
 	}
--- /dev/null
+++ b/internal/oper/daemon/crashes.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/flow/crash"
+	"github.com/bramleycove/bramleycove/internal/oper/events"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+)
+
+// passOn is how long a strike is passed on to other instances: a few heartbeats.
+const passOn = 3 * time.Second
+
+// crashes makes the tracker of requests that crash servers safe for concurrent use.
+type crashes struct {
+	mu      sync.Mutex
+	tracker *crash.Tracker
+	log     *events.Logger
+}
+
+func newCrashes(instance string, log *events.Logger) *crashes {
+	return &crashes{tracker: crash.New(instance), log: log}
+}
+
+func (c *crashes) admit(now time.Time, fp [16]byte) (alone bool, refuse time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	decision, wait := c.tracker.Admit(now, fp)
+	switch decision {
+	case crash.Refuse:
+		return false, wait
+	case crash.Alone, crash.Trial:
+		return true, 0
+	default:
+		return false, 0
+	}
+}
+
+func (c *crashes) refused(now time.Time, fp [16]byte) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Refused(now, fp)
+}
+
+func (c *crashes) lost(now time.Time, server string, fp [16]byte) {
+	c.mu.Lock()
+	c.tracker.Lost(now, server, []crash.Fingerprint{fp})
+	c.mu.Unlock()
+	c.log.Warn("strike", "server", server, "fingerprint", hex.EncodeToString(fp[:]))
+}
+
+func (c *crashes) succeeded(now time.Time, fp [16]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Succeeded(now, fp)
+}
+
+func (c *crashes) recent(now time.Time) []*peerpb.Strike {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*peerpb.Strike
+	for _, s := range c.tracker.Recent(now, passOn) {
+		out = append(out, strikeMessage(s))
+	}
+	return out
+}
+
+func (c *crashes) merge(now time.Time, list []*peerpb.Strike) {
+	var in []crash.Strike
+	for _, m := range list {
+		if s, ok := strike(m); ok {
+			in = append(in, s)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Merge(now, in)
+}
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -19,6 +19,9 @@
 
 	"github.com/bramleycove/bramleycove/internal/edge/front"
 	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/once"
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/admin"
 	"github.com/bramleycove/bramleycove/internal/oper/config"
 	"github.com/bramleycove/bramleycove/internal/oper/events"
@@ -35,6 +38,7 @@
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
@@ -55,6 +59,8 @@
 	drive  *drive.Driver
 	member *member.Member
 	stage  *lanes.Stage
+	ledger *once.Ledger
+	crash  *crashes
 	passer *pass.Passer
 	front  *front.Front
 	admin  *admin.Server
@@ -79,7 +85,7 @@
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var background, servers conc.WaitGroup
-	for _, run := range []func(context.Context){d.folds.Run, d.drive.Run, d.member.Run, d.fetchList, d.gossip} {
+	for _, run := range []func(context.Context){d.folds.Run, d.drive.Run, d.member.Run, d.ledger.Run, d.fetchList, d.gossip} {
 		background.Go(func() { run(parts) })
 	}
 	peers := d.passer.Server(d.peerHandler())
@@ -138,12 +144,16 @@
 	if !d.peer.IsValid() {
 		d.peer = l.peer.Addr().(*net.TCPAddr).AddrPort()
 	}
+	d.calls.Via = d.via
 	d.listed.Store(new(roster.List))
 	d.view = view.New(cfg.DC, d.peer)
+	d.crash = newCrashes(d.id, d.log.For("flow"))
+	d.ledger = once.New(d.ledgerSeams())
 	d.folds = folds.New(d.foldSeams())
 	d.drive = drive.New(d.driveConfig())
-	d.stage = lanes.New(lanes.Config{Ranks: d.ranks, Servers: d.view.Servers, Seed: seed(d.id)})
+	d.stage = lanes.New(d.laneConfig())
 	d.passer = pass.New(d.view, d.stage.Do)
+	d.passer.Via = d.via
 	d.member = member.New(d.memberConfig())
 	d.front = front.New(d.frontConfig())
 	d.admin = admin.New(admin.Sources{Status: d.status, Explain: d.explain, Metrics: d.meter.Text})
@@ -158,7 +168,7 @@
 		Yields: d.yields,
 		Writes: func() bool { return d.drive.Controller() },
 		DC:     d.cfg.DC, Seed: seed(d.id),
-		Tables: d.setTables, Placed: d.placed,
+		Tables: d.setTables, Placed: d.placed, Ledger: d.ledger.Apply,
 		Event: log.Info,
 	}
 }
@@ -178,7 +188,10 @@
 			}
 			return d.logs.Append(ctx, folds.PlaceStream, data)
 		},
-		Grant: client.Grant, Fence: d.calls.Fence,
+		Grant: func(ctx context.Context, addr netip.AddrPort, g grants.Grant) (grants.Reply, error) {
+			return client.Grant(ctx, d.via(addr), g)
+		},
+		Fence: d.calls.Fence,
 		Event: d.log.For("place").Info,
 	}
 }
@@ -191,7 +204,9 @@
 		Leaving: d.leaving.Load,
 		Send:    d.calls.Heartbeat, Serve: d.drive.Heartbeat, Heard: d.drive.Heard,
 		Update: d.stage.Update, Released: d.stage.Released, Reports: d.stage.Reports,
-		Roster: d.view.SetCell,
+		Strikes: func() []*peerpb.Strike { return d.crash.recent(time.Now()) },
+		Roster:  d.view.SetCell,
+		Struck:  func(list []*peerpb.Strike) { d.crash.merge(time.Now(), list) },
 	}
 }
 
@@ -199,11 +214,58 @@
 	limits := d.cfg.Limits
 	return front.Config{
 		DC: d.cfg.DC, Instance: d.id, Tables: d.view.Tables, Send: d.passer.Send, Observe: d.observe,
+		Check: d.crash.refused, Begin: d.begin,
 		MaxBody: limits.Body, MaxHeader: limits.Header, MaxConns: limits.Connections,
 		ReadTime: limits.Read, IdleTime: limits.Idle,
 	}
 }
 
+func (d *daemon) ledgerSeams() once.Seams {
+	return once.Seams{
+		Instance: d.id,
+		Append: func(ctx context.Context, data []byte) (uint64, error) {
+			return d.logs.Append(ctx, folds.LedgerStream, data)
+		},
+		Ready: func() bool { return d.folds.LedgerCaught() },
+		Live:  func() int { return len(d.others()) + 1 },
+		Now:   time.Now, Budget: float64(d.cfg.Budget),
+	}
+}
+
+func (d *daemon) laneConfig() lanes.Config {
+	return lanes.Config{
+		Ranks: d.ranks, Servers: d.view.Servers, Leaving: d.serverLeaving,
+		Admit: d.crash.admit, Lost: d.crash.lost, Succeeded: d.crash.succeeded,
+		Freed: func() { d.member.Kick() }, Via: d.via, Seed: seed(d.id),
+	}
+}
+
+// via returns the address to dial for one of the list or the pool table.
+func (d *daemon) via(addr netip.AddrPort) netip.AddrPort {
+	if proxy, ok := d.cfg.Proxies[addr]; ok {
+		return proxy
+	}
+	return addr
+}
+
+// begin claims work that must not repeat.
+func (d *daemon) begin(ctx context.Context, id [32]byte, window time.Duration) (func(work.Answer, error), work.Answer, error) {
+	ticket, kept, err := d.ledger.Begin(ctx, id, window)
+	if err != nil {
+		return nil, work.Answer{}, err
+	}
+	if ticket == nil {
+		return nil, replayed(kept), nil
+	}
+	return func(a work.Answer, err error) {
+		if err != nil {
+			ticket.Done(result.From(err).Verdict, nil)
+			return
+		}
+		ticket.Done(result.Ran, recorded(a))
+	}, work.Answer{}, nil
+}
+
 func (d *daemon) ranks() []tables.Rank {
 	if t := d.view.Tables(); t != nil {
 		return t.Ranks
--- a/internal/oper/daemon/peers.go
+++ b/internal/oper/daemon/peers.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// serverLeaving reports whether the platform's list says that a backend server leaves.
+func (d *daemon) serverLeaving(name string) bool {
+	for _, s := range d.listed.Load().Servers {
+		if s.Name == name {
+			return s.Leaving
+		}
+	}
+	return false
+}
+
 // others returns the live instances but this one.
 func (d *daemon) others() []roster.Instance {
 	var out []roster.Instance
--- a/internal/oper/daemon/report.go
+++ b/internal/oper/daemon/report.go
@@ -26,14 +26,18 @@
 	}
 	d.meter.Series(tenant, rank).Answered(o.Took, verdict)
 	log := d.log.For("edge")
-	if o.Err != nil && o.Request != nil {
-		log.Info("refused", "request", o.Request.ID, "route", o.Request.Route, "reason", o.Err.Reason, "verdict", verdict,
-			"status", o.Status, "took", o.Took)
+	if o.Err == nil && !log.Debugging() {
 		return
 	}
-	if log.Debugging() && o.Request != nil {
-		log.Debug("answered", "request", o.Request.ID, "route", o.Request.Route, "status", o.Status, "took", o.Took)
+	id, route := "", ""
+	if o.Request != nil {
+		id, route = o.Request.ID, o.Request.Route
+	}
+	if o.Err != nil {
+		log.Info("refused", "request", id, "route", route, "reason", o.Err.Reason, "verdict", verdict, "status", o.Status, "took", o.Took)
+		return
 	}
+	log.Debug("answered", "request", id, "route", route, "status", o.Status, "took", o.Took)
 }
 
 func (d *daemon) status() opapi.Status {
@@ -42,7 +46,7 @@
 	out := opapi.Status{
 		Instance: d.id, DC: d.cfg.DC, Region: d.cfg.Region, Config: version, Place: placed,
 		Controller: s.State == ctrl.Serving,
-		Ready: version != 0 && d.folds.Caught() && !d.leaving.Load(), Leaving: d.leaving.Load(),
+		Ready:      version != 0 && d.folds.Caught() && !d.leaving.Load(), Leaving: d.leaving.Load(),
 	}
 	high := d.member.High()
 	out.Term, out.Epoch = high.Term, high.Epoch
--- a/internal/oper/jsonc/node.go
+++ b/internal/oper/jsonc/node.go
@@ -181,6 +181,24 @@
 	return nodes
 }
 
+// Entry is a member of an object whose names are data.
+type Entry struct {
+	Name, Value Node
+}
+
+// Entries reads the members of an object in their order.
+func (n Node) Entries() []Entry {
+	if !n.kind('{', "an object") {
+		return nil
+	}
+	members := n.v.Value.(*hujson.Object).Members
+	out := make([]Entry, len(members))
+	for i := range members {
+		out[i] = Entry{Node{n.doc, &members[i].Name}, Node{n.doc, &members[i].Value}}
+	}
+	return out
+}
+
 // maxQuote bounds how much of a value a message repeats.
 const maxQuote = 60
 
--- a/internal/peer/calls/client.go
+++ b/internal/peer/calls/client.go
@@ -24,6 +24,8 @@
 type Client struct {
 	http  *http.Client
 	known sync.Map // peerpb.Peer by netip.AddrPort
+	// Via returns the address to dial for an instance. nil means the instance's own address.
+	Via func(netip.AddrPort) netip.AddrPort
 }
 
 // NewClient returns a client without connections.
@@ -41,7 +43,11 @@
 	if p, ok := c.known.Load(addr); ok {
 		return p.(peerpb.Peer)
 	}
-	p, _ := c.known.LoadOrStore(addr, peerpb.NewPeerProtobufClient("http://"+addr.String(), c.http))
+	dial := addr
+	if c.Via != nil {
+		dial = c.Via(addr)
+	}
+	p, _ := c.known.LoadOrStore(addr, peerpb.NewPeerProtobufClient("http://"+dial.String(), c.http))
 	return p.(peerpb.Peer)
 }
 
--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -25,6 +25,8 @@
 const (
 	ConfigStream = "config"
 	PlaceStream  = "place"
+	// LedgerStream has no lasting state: its records matter for the window of a route, which is shorter than retention.
+	LedgerStream = "ledger"
 )
 
 // Seams are what Folds needs of its owner. Functions are called by several goroutines.
@@ -43,6 +45,8 @@
 	Seed   uint64
 	// Tables is called with each version that comes into force.
 	Tables func(version uint64, t *tables.Tables)
+	// Ledger is called with each record of the ledger, in order.
+	Ledger func(offset uint64, data []byte)
 	// Placed is called after each change of the place fold.
 	Placed func()
 	// Event reports what happened.
@@ -61,6 +65,7 @@
 	Seams
 	config *follower
 	place  *follower
+	ledger *relay.Tail
 
 	mu     sync.RWMutex
 	tables fold.Config
@@ -78,7 +83,11 @@
 
 // New returns folds that are empty until Run.
 func New(seams Seams) *Folds {
-	return &Folds{Seams: seams, config: &follower{stream: ConfigStream}, place: &follower{stream: PlaceStream}}
+	f := &Folds{Seams: seams, config: &follower{stream: ConfigStream}, place: &follower{stream: PlaceStream}}
+	f.ledger = relay.New(0, f.tailSeams(LedgerStream, f.Seams.Ledger, func(_ context.Context, first uint64) (uint64, error) {
+		return first - 1, nil
+	}))
+	return f
 }
 
 // View calls f with the fold of the place stream, which f only reads and must not keep.
@@ -124,6 +133,8 @@
 		return f.config.tail
 	case PlaceStream:
 		return f.place.tail
+	case LedgerStream:
+		return f.ledger
 	}
 	return nil
 }
@@ -133,6 +144,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { f.follow(ctx, f.config) })
 	wg.Go(func() { f.follow(ctx, f.place) })
+	wg.Go(func() { f.ledger.Run(ctx) })
 	wg.Go(func() { f.writeSnapshots(ctx) })
 	wg.Wait()
 }
@@ -147,20 +159,11 @@
 	s.snaps.Seen(time.Now(), asof)
 	s.mu.Unlock()
 	f.Event("state-loaded", "stream", s.stream, "offset", asof)
-	tail := relay.New(asof, relay.Seams{
-		Sources: func() []relay.Source { return f.sources(s.stream) },
-		Deliver: func(offset uint64, data []byte) { f.deliver(s, offset, data) },
-		Gap: func(ctx context.Context, first uint64) (uint64, error) {
-			f.Event("records-trimmed", "stream", s.stream, "first", first)
-			return origin.Resume(ctx, f.offset(s.stream), first)
-		},
-		Now:    time.Now,
-		Yields: f.Yields,
-		Failed: func(source string, err error) {
-			f.Event("read-failed", "stream", s.stream, "source", source, "error", err)
-		},
-		Seed: f.Seed,
-	})
+	deliver := func(offset uint64, data []byte) { f.deliver(s, offset, data) }
+	tail := relay.New(asof, f.tailSeams(s.stream, deliver, func(ctx context.Context, first uint64) (uint64, error) {
+		f.Event("records-trimmed", "stream", s.stream, "first", first)
+		return origin.Resume(ctx, f.offset(s.stream), first)
+	}))
 	f.mu.Lock()
 	s.tail = tail
 	f.mu.Unlock()
@@ -168,6 +171,25 @@
 	tail.Run(ctx)
 }
 
+func (f *Folds) tailSeams(
+	stream string, deliver func(uint64, []byte), gap func(context.Context, uint64) (uint64, error),
+) relay.Seams {
+	return relay.Seams{
+		Sources: func() []relay.Source { return f.sources(stream) },
+		Deliver: deliver,
+		Gap:     gap,
+		Now:     time.Now,
+		Yields:  f.Yields,
+		Failed: func(source string, err error) {
+			f.Event("read-failed", "stream", stream, "source", source, "error", err)
+		},
+		Seed: f.Seed,
+	}
+}
+
+// LedgerCaught reports whether the ledger has been read up to its end since the start.
+func (f *Folds) LedgerCaught() bool { return f.ledger.Caught() }
+
 func (f *Folds) offset(stream string) uint64 {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/peer/pass/pass.go
+++ b/internal/peer/pass/pass.go
@@ -49,6 +49,8 @@
 type Passer struct {
 	view *view.View
 	do   func(ctx context.Context, req *work.Request) (work.Answer, error)
+	// Via returns the address to dial for an instance. nil means the instance's own address.
+	Via func(netip.AddrPort) netip.AddrPort
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -248,7 +250,7 @@
 	}
 	q := p.peers[addr]
 	if q == nil {
-		q = &peer{Pool: conns.New(addr, 0)}
+		q = &peer{Pool: conns.New(p.via(addr), 0)}
 		p.peers[addr] = q
 	}
 	q.used = now
@@ -264,3 +266,10 @@
 	}
 	clear(p.peers)
 }
+
+func (p *Passer) via(addr netip.AddrPort) netip.AddrPort {
+	if p.Via == nil {
+		return addr
+	}
+	return p.Via(addr)
+}
