--- a/internal/place/fleet/fleet.go
+++ b/internal/place/fleet/fleet.go
@@ -208,8 +208,9 @@
 	case s.probe:
 		res.Confirmed = f.reported(s, r, res.Seen)
 	case r.Accepted:
-		f.accepted(now, s, r)
-		res.Confirmed = true
+		// The answer to a grant of an earlier pair says nothing about this one.
+		res.Confirmed = res.Seen == f.pair
+		f.accepted(now, s, r, res.Confirmed)
 	default:
 		f.refused(s)
 	}
@@ -243,15 +244,15 @@
 	return false
 }
 
-func (f *Fleet) accepted(now time.Time, s *Server, r grants.Reply) {
+func (f *Fleet) accepted(now time.Time, s *Server, r grants.Reply, confirmed bool) {
 	f.Expose.Accepted(s.Key(), s.id)
-	if s.step == fencing {
+	if s.step == fencing && confirmed {
 		if now.Sub(s.probed) > ReportAge {
 			s.Reported = nil
 		}
 		s.step = regular
 	}
-	if !s.Confirmed {
+	if !s.Confirmed && confirmed {
 		s.Confirmed, f.changed = true, true
 		f.Expose.Known(Earlier(s.Name))
 	}
--- a/internal/place/lease/schedule_test.go
+++ b/internal/place/lease/schedule_test.go
@@ -17,19 +17,20 @@
 // world runs would-be controllers, witnesses and servers in invented time. Messages are delayed, lost and reordered,
 // processes pause, and every process has a clock with its own offset and rate.
 type world struct {
-	rng     *rand.Rand
-	p       params
-	now     time.Duration
-	queue   events
-	seq     int
-	ids     []string // all witnesses: instances, then servers
-	witness map[string]*lease.Witness
-	servers map[string]*server
-	ctrls   []*controller
-	terms   []term // the log
-	cut     map[[2]string]time.Duration
-	fault   string
-	gave    int
+	rng      *rand.Rand
+	p        params
+	now      time.Duration
+	queue    events
+	seq      int
+	ids      []string // all witnesses: instances, then servers
+	witness  map[string]*lease.Witness
+	servers  map[string]*server
+	ctrls    []*controller
+	terms    []term // the log
+	cut      map[[2]string]time.Duration
+	fault    string
+	gave     int
+	renewals int
 }
 
 type params struct {
@@ -114,7 +115,9 @@
 	expose  lease.Exposure
 	settle  time.Time
 	serving bool
-	claims  bool
+	calm    time.Time     // no move before
+	moved   time.Time     // when an owner last changed
+	next    *lease.Quorum // of the new term while renewing with authority
 	owner   []string
 	backend map[string]*known
 	calls   uint64
@@ -126,6 +129,9 @@
 	confirmed    bool
 	reported     map[uint32]bool
 	set          map[uint32]bool
+	fresh        bool // confirmed the new term while renewing
+	probedAt     time.Time
+	lapse        time.Time
 	busy         bool
 }
 
@@ -222,8 +228,15 @@
 	if !c.serving && c.fence.Complete() && c.quorum.Holds(now) {
 		c.begin()
 	}
-	if c.serving && w.rng.IntN(4) == 0 {
+	if c.next != nil {
+		c.renewed(now)
+	}
+	if w.rng.IntN(20) == 0 {
+		c.calm = now.Add(time.Duration(w.rng.IntN(8000)) * time.Millisecond)
+	}
+	if c.serving && c.next == nil && now.After(c.calm) && w.rng.IntN(4) == 0 {
 		c.owner[w.rng.IntN(len(c.owner))] = w.ids[w.p.Instances+w.rng.IntN(w.p.Servers)]
+		c.moved = now
 	}
 	if c.serving {
 		c.allot()
@@ -267,6 +280,10 @@
 func (c *controller) claim() {
 	w := c.w
 	n := uint64(len(w.terms))
+	last := lease.Pair{Term: n + 1}
+	if c.pair != (lease.Pair{Term: n}) {
+		last = lease.Pair{} // not the holder
+	}
 	if n > 0 && w.rng.IntN(3) == 0 && c.pair.Term < n {
 		c.pair = lease.Pair{Term: n, Epoch: uint32(1 + slices.Index(w.ctrls, c))}
 	} else {
@@ -299,8 +316,18 @@
 			earlier = append(earlier, set)
 		}
 	}
+	now := c.read(w.now)
+	renewing := c.serving && c.next == nil && c.pair == last && c.quorum.Holds(now) && now.Sub(c.moved) >= quietFor
 	c.fence = lease.NewFence(t.set, earlier, c.pair == lease.Pair{Term: 1})
-	c.quorum = lease.NewQuorum(t.set)
+	if renewing {
+		c.next = lease.NewQuorum(t.set)
+		for _, k := range c.backend {
+			k.fresh = false
+		}
+		w.renewals++
+		return
+	}
+	c.next, c.quorum = nil, lease.NewQuorum(t.set)
 	c.serving, c.backend, c.owner = false, make(map[string]*known), make([]string, w.p.Slots)
 	for id := range w.servers {
 		c.backend[id] = &known{}
@@ -315,6 +342,9 @@
 		if !k.confirmed {
 			c.expose.Unknown(id+"/earlier", "p", c.settle)
 		}
+		if c.read(c.w.now).Sub(k.probedAt) > reportAge {
+			k.reported = nil
+		}
 		for slot := range k.reported {
 			c.owner[slot] = id
 		}
@@ -324,6 +354,39 @@
 	}
 }
 
+// quietFor is how long no slot may have moved before a holder renews its term, as in package ctrl.
+const quietFor = 2 * (lease.D + lease.L)
+
+const reportAge = 500 * time.Millisecond
+
+// renewed ends the renewal of a term: the holder goes on if it had authority until the new term was confirmed.
+func (c *controller) renewed(now time.Time) {
+	if !c.quorum.Holds(now) {
+		c.fence, c.serving, c.next = nil, false, nil
+		return
+	}
+	if !c.fence.Complete() {
+		return
+	}
+	for _, id := range c.w.ids[c.w.p.Instances:] {
+		if k := c.backend[id]; !k.fresh && k.lapse.After(now.Add(-lease.D-reportAge)) {
+			c.expose.Unknown(id+"/earlier", "p", now.Add(lease.Stretch(lease.D+lease.L)))
+		}
+	}
+	c.quorum, c.next = c.next, nil
+	c.w.terms[c.pair.Term-1].ready = c.w.terms[c.pair.Term-1].ready || c.pair.Term == uint64(len(c.w.terms))
+}
+
+// confirm notes that a witness confirmed the pair after sent.
+func (c *controller) confirm(id string, sent time.Time) {
+	c.fence.Confirm(id, c.read(c.w.now))
+	if c.next != nil {
+		c.next.Confirm(id, sent)
+	} else {
+		c.quorum.Confirm(id, sent)
+	}
+}
+
 // ask lets an instance confirm the pair.
 func (c *controller) ask(id string) {
 	w, pair, sent := c.w, c.pair, c.read(c.w.now)
@@ -331,8 +394,7 @@
 		ok := w.witness[id].Offer(pair)
 		w.send(id, c.name, &c.clock, func() {
 			if ok && c.pair == pair && c.fence != nil {
-				c.fence.Confirm(id, c.read(w.now))
-				c.quorum.Confirm(id, sent)
+				c.confirm(id, sent)
 			}
 		})
 	})
@@ -364,6 +426,9 @@
 	}
 	c.calls++
 	c.expose.Sent(id, c.calls, spans, k.readAt.Add(lease.Stretch(lease.L)))
+	if len(spans) > 0 {
+		k.lapse = k.readAt.Add(lease.Stretch(lease.L))
+	}
 	c.call(id, g, c.calls)
 }
 
@@ -401,7 +466,7 @@
 	w.send(c.name, id, &w.servers[id].clock, func() {
 		r := w.servers[id].apply(w, id, g)
 		w.send(id, c.name, &c.clock, func() {
-			if !open || c.backend[id] != k || c.fence == nil {
+			if !open || c.backend[id] != k || c.fence == nil || c.pair != pair {
 				return
 			}
 			open, k.busy = false, false
@@ -433,29 +498,33 @@
 	case r.pair.Compare(pair) > 0:
 		c.fence, c.serving = nil, false
 	case call == 0:
-		k.probed, k.reported = true, r.held
+		k.probed, k.reported, k.probedAt = true, r.held, sent
 	case r.ok:
-		k.confirmed = true
+		if !k.confirmed && now.Sub(k.probedAt) > reportAge {
+			k.reported = nil
+		}
+		k.confirmed, k.fresh = true, true
 		c.expose.Accepted(id, call)
-		c.fence.Confirm(id, now)
-		c.quorum.Confirm(id, sent)
+		c.expose.Known(id + "/earlier")
+		c.confirm(id, sent)
 	}
 }
 
 // Guards invariant 1: fails when a new controller doesn't wait D+L, when it needs fewer than n-m+1 witnesses of an
 // earlier set, or when a slot is given away while another server may hold it.
 func TestSlotIsNeverHeldTwice(t *testing.T) {
-	gave := 0
+	gave, renewals := 0, 0
 	for seed := range 400 {
 		p := schedules.Example(seed)
 		w := run(p, 40*time.Second)
 		gave += w.gave
+		renewals += w.renewals
 		if w.fault != "" {
 			t.Fatalf("schedule %d %+v: %s", seed, p, w.fault)
 		}
 	}
-	t.Logf("schedules 0 to 399, slots granted %d times", gave)
-	if gave < 10000 {
-		t.Fatalf("the schedules grant too little to show anything: %d", gave)
+	t.Logf("schedules 0 to 399, slots granted %d times, terms renewed %d times", gave, renewals)
+	if gave < 10000 || renewals < 100 {
+		t.Fatalf("the schedules grant too little to show anything")
 	}
 }
