--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -117,6 +117,17 @@
 	return e.until.Sub(now), true
 }
 
+// Quarantined returns the number of fingerprints in quarantine.
+func (t *Tracker) Quarantined(now time.Time) int {
+	n := 0
+	for _, e := range t.entries {
+		if now.Before(e.until) {
+			n++
+		}
+	}
+	return n
+}
+
 // Succeeded notes that a request ran to its end. It sheds the strikes that the request got because others crashed its
 // servers.
 func (t *Tracker) Succeeded(now time.Time, f Fingerprint) {
--- a/internal/oper/daemon/crashes.go
+++ b/internal/oper/daemon/crashes.go
@@ -47,8 +47,18 @@
 func (c *crashes) lost(now time.Time, server string, fp [16]byte) {
 	c.mu.Lock()
 	c.tracker.Lost(now, server, []crash.Fingerprint{fp})
+	wait, refused := c.tracker.Refused(now, fp)
 	c.mu.Unlock()
 	c.log.Warn("strike", "server", server, "fingerprint", hex.EncodeToString(fp[:]))
+	if refused {
+		c.log.Warn("quarantined", "fingerprint", hex.EncodeToString(fp[:]), "for", wait)
+	}
+}
+
+func (c *crashes) quarantined(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Quarantined(now)
 }
 
 func (c *crashes) succeeded(now time.Time, fp [16]byte) {
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -309,6 +310,12 @@
 	return false
 }
 
+// handingOver reports whether another instance of the data centre has yet to take lanes over.
+func (d *daemon) handingOver() bool {
+	return len(d.stage.Lanes()) > 0 &&
+		slices.ContainsFunc(d.others(), func(i roster.Instance) bool { return i.DC == d.cfg.DC })
+}
+
 const (
 	// handoverTimeout bounds the wait for other instances to take the lanes over.
 	handoverTimeout = 10 * time.Second
@@ -328,7 +335,7 @@
 	if err := d.front.Stop(ctx, d.cfg.Linger); err != nil {
 		d.log.Error("callers-cut-off", "error", err)
 	}
-	for end := time.Now().Add(handoverTimeout); len(d.stage.Lanes()) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(handoverTimeout); d.handingOver() && time.Now().Before(end); {
 		time.Sleep(handoverPoll)
 	}
 	if err := peers.ShutdownWithContext(ctx); err != nil {
--- a/internal/oper/daemon/report.go
+++ b/internal/oper/daemon/report.go
@@ -4,12 +4,14 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/bramleycove/bramleycove/internal/edge/front"
 	"github.com/bramleycove/bramleycove/internal/edge/route"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/oper/opapi"
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/ctrl"
-	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/plan"
 )
@@ -47,6 +49,7 @@
 		Instance: d.id, DC: d.cfg.DC, Region: d.cfg.Region, Config: version, Place: placed,
 		Controller: s.State == ctrl.Serving,
 		Ready:      version != 0 && d.folds.Caught() && !d.leaving.Load(), Leaving: d.leaving.Load(),
+		Quarantine: d.crash.quarantined(time.Now()),
 	}
 	high := d.member.High()
 	out.Term, out.Epoch = high.Term, high.Epoch
@@ -56,7 +59,7 @@
 	return out
 }
 
-// explain says where a request would go.
+// explain says where a request would go. key stands in for a key that the route takes from a header.
 func (d *daemon) explain(method, path, key string) opapi.Explanation {
 	t := d.view.Tables()
 	if t == nil {
@@ -66,7 +69,14 @@
 	if r == nil {
 		return opapi.Explanation{Reason: route.ReasonRoute}
 	}
+	if key == "" {
+		key = pathKey(t, method, path)
+	}
 	out := opapi.Explanation{Route: r.Name, Rank: r.Rank, Tenant: r.Tenant, Pool: r.Pool, Key: key}
+	if r.Key != (tables.Source{}) && key == "" {
+		out.Reason = route.ReasonKey
+		return out
+	}
 	target, err := d.view.Locate(r.Pool, key)
 	if err != nil {
 		out.Reason = result.From(err).Reason
@@ -74,14 +84,22 @@
 	}
 	out.Slot, out.Home, out.Owner, out.Token, out.Lane = target.Slot, target.DC, target.Server, target.Token, target.Lane
 	out.Dispatcher = target.Dispatcher.String()
-	d.folds.View(func(p *fold.Place) {
-		if slots := p.Slots(r.Pool); target.Keyed && int(target.Slot) < len(slots) {
-			out.Home = slots[target.Slot].DC
-		}
-	})
 	return out
 }
 
+// pathKey returns the key that a route takes from the path or query, "" if it takes it from elsewhere.
+func pathKey(t *tables.Tables, method, path string) string {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	m, err := route.Extract(t, req, "", time.Time{})
+	if m.Request == nil || result.From(err).Reason == route.ReasonKey {
+		return ""
+	}
+	return m.Request.Key
+}
+
 // newBalance returns the controller's seam to the planner, which keeps a state for each pool.
 func newBalance() func(string, time.Time, []homes.Server, []homes.Slot) []homes.Move {
 	var mu sync.Mutex
