--- /dev/null
+++ b/internal/peer/pass/fault_test.go
@@ -0,0 +1,168 @@
+package pass_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+)
+
+// faulty is a server that fails in many ways and keeps a journal of what it ran.
+type faulty struct {
+	mu      sync.Mutex
+	rand    *rand.Rand
+	journal map[string]int
+	conns   []net.Conn
+	busy    atomic.Int32 // requests being handled
+}
+
+func (f *faulty) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(n)
+}
+
+func (f *faulty) run(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.journal[id]++
+}
+
+func (f *faulty) listen(t *testing.T) netip.AddrPort {
+	ln, addr := listen(t)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns = append(f.conns, c)
+			f.mu.Unlock()
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				if f.draw(20) == 0 {
+					return // closed before anything was read
+				}
+				for br := bufio.NewReader(c); f.serve(c, br); {
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		f.mu.Lock()
+		for _, c := range f.conns {
+			_ = c.Close()
+		}
+		f.mu.Unlock()
+		wg.Wait()
+	})
+	return addr
+}
+
+// serve handles one request and reports whether the connection stays open.
+func (f *faulty) serve(c net.Conn, br *bufio.Reader) bool {
+	req := new(fasthttp.Request)
+	if req.Read(br) != nil {
+		return false
+	}
+	f.busy.Add(1)
+	defer f.busy.Add(-1)
+	id := string(req.Header.Peek(work.RequestID))
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
+	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(id), id)
+	kind := f.draw(20)
+	switch {
+	case req.Header.IsDelete():
+		_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+		return true
+	case kind == 0: // read, but not run
+		return false
+	case kind == 1:
+		_, _ = c.Write([]byte(head + "Verdict: not-run\r\nContent-Length: 0\r\n\r\n"))
+		return true
+	case kind == 2: // runs after the deadline
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.run(id)
+	switch kind {
+	case 3:
+		return false
+	case 4:
+		_, _ = c.Write([]byte(whole[:len(whole)-1]))
+		return false
+	case 5:
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nRequest-Id: x" + id + "\r\nContent-Length: 1\r\n\r\nx"))
+		return true
+	}
+	_, err := c.Write([]byte(whole))
+	return err == nil && kind != 6 // closed while idle
+}
+
+// Guards against a "not run" for work that ran, an answer of another request, a cut answer passed as whole, and work
+// sent twice after it may have run.
+func TestFaults(t *testing.T) {
+	const seed = 11
+	t.Log("seed", seed)
+	f := &faulty{rand: rand.New(rand.NewPCG(seed, seed)), journal: make(map[string]int)}
+	_, via, disp := fleet(t)
+	disp.update(7, 2, f.listen(t), f.listen(t), f.listen(t), f.listen(t))
+	var mu sync.Mutex
+	verdicts := map[string]result.Verdict{}
+	var wg conc.WaitGroup
+	for caller := range 6 {
+		wg.Go(func() {
+			for n := range 100 {
+				req := request("cut")
+				req.ID, req.Retry = fmt.Sprintf("c%d-%d", caller, n), true
+				req.Deadline = time.Now().Add(150 * time.Millisecond)
+				ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+				a, err := via.Send(ctx, req)
+				cancel()
+				v := result.Ran
+				if err != nil {
+					v = result.From(err).Verdict
+				} else if string(a.Body) != req.ID {
+					t.Errorf("answer %q to %s", a.Body, req.ID)
+				}
+				mu.Lock()
+				verdicts[req.ID] = v
+				mu.Unlock()
+				if v == result.NotRun {
+					time.Sleep(10 * time.Millisecond) // a caller that is refused does not come back at once
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for f.busy.Load() > 0 { // requests that timed out
+		time.Sleep(time.Millisecond)
+	}
+	count := map[result.Verdict]int{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, v := range verdicts {
+		count[v]++
+		if n := f.journal[id]; n > 1 || (v == result.Ran) && n != 1 || v == result.NotRun && n != 0 {
+			t.Errorf("%s ran %d times, verdict %s", id, n, v)
+		}
+	}
+	if count[result.Ran] == 0 || count[result.NotRun] == 0 || count[result.MayHaveRun] == 0 {
+		t.Errorf("not all verdicts were met: %v", count)
+	}
+	t.Log(count)
+}
--- a/internal/peer/pass/pass_test.go
+++ b/internal/peer/pass/pass_test.go
@@ -111,17 +111,18 @@
 	}
 	via.SetCell(members, nil)
 	disp.SetCell(members, nil)
-	disp.update(7, 1)
+	disp.update(7, 1, t.Pools[0].Servers[0].Address)
 	return entry, via, disp
 }
 
 // update gives the lanes to the instance.
-func (in *instance) update(token, revision uint64) {
-	sv := in.Tables().Pools[0].Servers[0]
+func (in *instance) update(token, revision uint64, addrs ...netip.AddrPort) {
+	var servers []*peerpb.Server
+	for i, a := range addrs {
+		servers = append(servers, &peerpb.Server{Name: fmt.Sprint("s", i+1), Address: a.String(), Slots: 3, Checks: true})
+	}
 	def := func(name, lane string) *peerpb.Lane {
-		return &peerpb.Lane{Name: lane, Pool: name, Revision: revision, Servers: []*peerpb.Server{
-			{Name: sv.Name, Address: sv.Address.String(), Slots: 3, Checks: true},
-		}}
+		return &peerpb.Lane{Name: lane, Pool: name, Revision: revision, Servers: servers}
 	}
 	keyed := def("cat", "cat/s1")
 	keyed.Slots = []*peerpb.Range{{First: 0, Last: 0, Token: token}}
@@ -168,7 +169,7 @@
 		t.Fatalf("token newer than the lease: %v", err)
 	}
 	a, err := send(via, request("cat"), func() {
-		disp.update(9, 2)
+		disp.update(9, 2, disp.Tables().Pools[0].Servers[0].Address)
 		via.SetList(roster.List{})
 	})
 	if err != nil || a.Status != 200 {
