--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,6 +170,39 @@
 	<-f.served
 }
 
+// Guards against a stop that returns while a request is in progress.
+func TestStopWaits(t *testing.T) {
+	hold, began := make(chan struct{}), make(chan struct{})
+	var finished atomic.Bool
+	f := start(t, front.Config{Send: func(context.Context, *work.Request) (work.Answer, error) {
+		close(began)
+		<-hold
+		finished.Store(true)
+		return work.Answer{Status: 200}, nil
+	}})
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if h := f.raw(t, get("/plain")); h.StatusCode() != 200 {
+			t.Errorf("request in progress: %v", h)
+		}
+	})
+	<-began
+	wg.Go(func() {
+		if err := f.Stop(context.Background(), 0); err != nil || !finished.Load() {
+			t.Errorf("stopped with a request in progress: %v", err)
+		}
+	})
+	for { // until the listener is closed
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			break
+		}
+		_ = c.Close()
+	}
+	close(hold)
+	wg.Wait()
+}
+
 // eventuallyClosing waits until answers carry "Connection: close".
 func eventuallyClosing(t *testing.T, f *fixture) {
 	t.Helper()
