Cap the traffic between regions by rank

Each rank leaves a part of the bucket to the more urgent ones; nothing waits, so urgent work is never behind bulk. Requests and answers are counted by the instance that sends over the link.

--- a/internal/peer/pass/fault_test.go
+++ b/internal/peer/pass/fault_test.go
@@ -57,7 +57,9 @@
 				if f.draw(20) == 0 {
 					return // closed before anything was read
 				}
-				for br := bufio.NewReader(c); f.serve(c, br); {
+				br := bufio.NewReader(c)
+				for open := true; open; {
+					open = f.serve(c, br)
 				}
 			})
 		}
--- a/internal/peer/pass/pass.go
+++ b/internal/peer/pass/pass.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/link"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/view"
@@ -50,6 +51,9 @@
 	view *view.View
 	do   func(ctx context.Context, req *work.Request) (work.Answer, error)
 
+	metering sync.Mutex
+	link     *link.Link
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 	swept time.Time
@@ -144,6 +148,10 @@
 // lately come last.
 func (p *Passer) to(ctx context.Context, req *work.Request, t view.Target) (a work.Answer, err error) {
 	req.Lane, req.Slot, req.Token = t.Lane, t.Slot, t.Token
+	received, err := p.meter(req, t.DC)
+	if err != nil {
+		return a, err
+	}
 	all := append([]netip.AddrPort{t.Dispatcher}, t.Fallbacks...)
 	if len(all) > 1 {
 		slices.SortStableFunc(all, func(a, b netip.AddrPort) int { return p.suspect(a) - p.suspect(b) })
@@ -154,6 +162,7 @@
 			break
 		}
 	}
+	received(size(a.Headers, a.Body))
 	return a, err
 }
 
--- a/internal/peer/pass/pass_test.go
+++ b/internal/peer/pass/pass_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/link"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
@@ -254,6 +255,29 @@
 	t.Error("never queued")
 }
 
+// Guards against traffic between regions that is not limited or counted, and against a limit within a region.
+func TestLink(t *testing.T) {
+	entry, via, _ := fleet(t)
+	split := *entry.Tables()
+	split.Regions = []tables.Region{{Name: "a", DCs: []string{"a1"}}, {Name: "b", DCs: []string{"b1"}}}
+	for _, in := range []*instance{entry, via} {
+		in.SetTables(&split)
+		spent := link.New(1000)
+		spent.Received(time.Now(), 0, 1<<40)
+		in.SetLink(spent)
+	}
+	if _, err := entry.Send(context.Background(), request("cat")); result.From(err).Reason != pass.ReasonLink {
+		t.Errorf("over a spent link: %v", err)
+	}
+	if _, err := via.Send(context.Background(), request("cat")); err != nil {
+		t.Errorf("within the region: %v", err)
+	}
+	entry.SetLink(link.New(1_000_000))
+	if _, err := entry.Send(context.Background(), request("cat")); err != nil || entry.Used()[0].In == 0 || entry.Used()[0].Out == 0 {
+		t.Errorf("%v, used %v", err, entry.Used())
+	}
+}
+
 // Guards against an unkeyed pool without usable local servers being refused where another data centre may serve it.
 func TestElsewhere(t *testing.T) {
 	entry, _, _ := fleet(t)
--- a/internal/place/view/spread.go
+++ b/internal/place/view/spread.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// metered returns the data centres of other regions than that of dc.
+func metered(t *tables.Tables, dc string) map[string]bool {
+	out := make(map[string]bool)
+	for _, r := range t.Regions {
+		if !slices.Contains(r.DCs, dc) {
+			for _, name := range r.DCs {
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
 // staffed reports whether the pool has servers in dc that stay.
 func staffed(p *tables.Pool, dc string) bool {
 	return slices.ContainsFunc(p.Servers, func(s tables.Server) bool { return s.DC == dc && !s.Leaving })
--- a/internal/place/view/view.go
+++ b/internal/place/view/view.go
@@ -68,6 +68,7 @@
 	members []netip.AddrPort            // peers of the own data centre
 	leaving map[string]bool             // servers that the platform's list shows as leaving
 	peers   map[string][]netip.AddrPort // listed instances by data centre, leaving ones only if there is no other
+	metered map[string]bool             // data centres of other regions
 	changed chan struct{}               // closed when a newer state is in force
 }
 
@@ -179,6 +180,7 @@
 	if s.tables == nil {
 		return
 	}
+	s.metered = metered(s.tables, v.dc)
 	for i := range s.tables.Pools {
 		t := &s.tables.Pools[i]
 		p := &pool{Pool: t, slots: s.slots[t.Name]}
@@ -320,6 +322,9 @@
 // Leaving reports whether the platform's list shows the server as leaving.
 func (v *View) Leaving(server string) bool { return v.state.Load().leaving[server] }
 
+// Metered reports whether traffic to dc crosses the link between regions.
+func (v *View) Metered(dc string) bool { return v.state.Load().metered[dc] }
+
 // Servers returns the servers of a lane of an unkeyed pool in the own data centre by the tables in force, nil if
 // there is no such lane. Fallback instances, which no controller told of the lane, serve it by this.
 func (v *View) Servers(lane string) []tables.Server {
