Judge the latency of a server by plain means, and count requests given up late

The usual latency followed quickly downwards, so a steady mix of quick and slow work lowered the limit to one. A server that froze was not noticed while callers gave up before their deadline.

--- a/internal/flow/lanes/job.go
+++ b/internal/flow/lanes/job.go
@@ -79,6 +79,11 @@
 			return limit.Timeout
 		}
 		return limit.Neutral
+	case server.ReasonCancelled:
+		if e.Verdict == result.MayHaveRun {
+			return limit.Abandoned
+		}
+		return limit.Neutral
 	case server.ReasonConnect, server.ReasonLost, server.ReasonLength:
 		return limit.Broken
 	default:
--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -260,6 +260,9 @@
 		return work.Refuse(ReasonServers, time.Second)
 	}
 	if frozen < usable {
+		if wait <= 0 {
+			return nil
+		}
 		if target := ln.stage.target(j.rank); target > 0 && wait > target {
 			return work.Refuse(ReasonHeld, wait)
 		}
--- a/internal/flow/limit/limit.go
+++ b/internal/flow/limit/limit.go
@@ -19,7 +19,9 @@
 	Timeout
 	// Broken means that the connection could not be opened or was lost.
 	Broken
-	// Neutral says nothing about the server, for example a cancelled request.
+	// Abandoned means that the caller gave up before the deadline.
+	Abandoned
+	// Neutral says nothing about the server, for example a request that was never sent.
 	Neutral
 )
 
@@ -35,11 +37,15 @@
 	// slow is the ratio of the recent to the usual latency above which the limit is lowered.
 	slow = 3
 	// minFreeze keeps short deadlines of callers from making a busy server count as frozen.
-	minFreeze = 100 * time.Millisecond
-
-	recentWeight = 0.2
-	usualWeight  = 0.01
-	lower        = 0.7
+	minFreeze    = 100 * time.Millisecond
+	minAbandoned = time.Second
+
+	// The recent latency is a mean over some 20 answers and the usual one over some 200. Both are plain means, so that
+	// a steady mix of quick and slow work does not look like a slow server.
+	recentWeight = 0.05
+	usualWeight  = 0.005
+	// lower is the factor of a reduction.
+	lower = 0.7
 )
 
 // Server is the state of one server. It is not safe for concurrent use.
@@ -52,6 +58,7 @@
 	cold    bool
 	recent  float64 // latency in seconds
 	usual   float64
+	seen    float64   // answers since the latency was last learnt anew
 	cutback time.Time // when the limit was last lowered
 
 	failures int // consecutive timeouts and breaks
@@ -114,6 +121,11 @@
 		if latency >= max(minFreeze, time.Duration(slow*s.usual*float64(time.Second))) {
 			s.fail(now)
 		}
+	case Abandoned:
+		// Callers give up on a frozen server before their deadline; a little impatience says nothing.
+		if latency >= max(minAbandoned, time.Duration(10*s.usual*float64(time.Second))) {
+			s.fail(now)
+		}
 	case Broken:
 		s.fail(now)
 	}
@@ -122,7 +134,7 @@
 func (s *Server) done(now time.Time, latency time.Duration) {
 	if s.frozen {
 		// The server may have been restarted: its usual latency and its limit have to be learnt again.
-		s.frozen, s.cold, s.limit, s.good, s.usual, s.recent = false, true, 1, 0, 0, 0
+		s.frozen, s.cold, s.limit, s.good, s.seen = false, true, 1, 0, 0
 		s.until = time.Time{}
 	}
 	s.failures = 0
@@ -139,17 +151,9 @@
 }
 
 func (s *Server) observe(sec float64) {
-	if s.usual == 0 {
-		s.usual, s.recent = sec, sec
-		return
-	}
-	s.recent += recentWeight * (sec - s.recent)
-	// The usual latency follows quickly downwards and slowly upwards: high values are mostly queueing.
-	w := usualWeight
-	if sec < s.usual {
-		w = recentWeight
-	}
-	s.usual += w * (sec - s.usual)
+	s.seen++
+	s.recent += max(recentWeight, 1/s.seen) * (sec - s.recent)
+	s.usual += max(usualWeight, 1/s.seen) * (sec - s.usual)
 }
 
 func (s *Server) grow() {
--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -175,7 +175,9 @@
 		return false
 	}
 	e.state = cancelled
-	q.classes[e.rank].live--
+	c := &q.classes[e.rank]
+	c.live--
+	c.sweep()
 	return true
 }
 
@@ -197,7 +199,6 @@
 	c.head++
 	c.live--
 	c.pace(now)
-	c.expel(now, &expired)
 	return e, expired
 }
 
@@ -270,22 +271,16 @@
 	return expired
 }
 
-// expel removes expired entries anywhere when at least half of the queue is dead, so that entries with short
-// deadlines behind long ones do not pile up.
-func (c *class[T]) expel(now time.Time, expired *[]*Entry[T]) {
+// sweep removes what has left the queue when that is most of it, so that cancelled entries do not pile up while no
+// server takes work.
+func (c *class[T]) sweep() {
 	if len(c.entries)-c.head <= 2*c.live+16 {
 		return
 	}
 	kept := c.entries[:0]
 	for _, e := range c.entries[c.head:] {
-		switch {
-		case e.state != waiting:
-		case now.Before(e.Deadline):
+		if e.state == waiting {
 			kept = append(kept, e)
-		default:
-			e.state = left
-			c.live--
-			*expired = append(*expired, e)
 		}
 	}
 	clear(c.entries[len(kept):])
