Do not call unread requests not run

A connection beyond the limit and a request that was sent too slowly may be resends of work that has run. Their refusals said 'not run', and the test of both expected it for the first; it now expects 'may have run' for both.

--- a/internal/edge/front/accept.go
+++ b/internal/edge/front/accept.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// full is the answer to a connection beyond the limit.
-const full = "HTTP/1.1 503 Service Unavailable\r\nBramleycove-Verdict: not-run\r\nRetry-After: 1\r\n" +
+// full is the answer to a connection beyond the limit. What it asks for is not known: it may be a resend of work that
+// has run, which must not be called not run.
+const full = "HTTP/1.1 503 Service Unavailable\r\nBramleycove-Verdict: may-have-run\r\nRetry-After: 1\r\n" +
 	"Connection: close\r\nContent-Length: 0\r\n\r\n"
 
 // bounded is a listener that keeps at most limit connections open and refuses the others with an answer.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -190,6 +190,10 @@
 	if fe, ok := err.(*fiber.Error); ok {
 		e.Status = fe.Code
 	}
+	if e.Status == fasthttp.StatusRequestTimeout {
+		// Unlike a malformed request, one that was sent too slowly may be a resend of work that has run.
+		e.Verdict = result.MayHaveRun
+	}
 	writeError(c.Response(), "", e)
 	return nil
 }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -238,12 +238,12 @@
 	f = start(t, front.Config{ReadTime: 300 * time.Millisecond, MaxConns: 1})
 	slow := dial(f, "GET /plain HTTP/1.1\r\n")
 	defer func() { _ = slow.Close() }()
-	if h := f.raw(t, ""); h.StatusCode() != 503 || string(h.Header.Peek(result.Header)) != "not-run" {
+	if h := f.raw(t, ""); h.StatusCode() != 503 || string(h.Header.Peek(result.Header)) != "may-have-run" {
 		t.Errorf("connection beyond the limit: %v", h)
 	}
 	_ = slow.SetReadDeadline(time.Now().Add(10 * time.Second))
 	resp := new(fasthttp.Response)
-	if err := resp.Read(bufio.NewReader(slow)); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout {
+	if err := resp.Read(bufio.NewReader(slow)); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout || string(resp.Header.Peek(result.Header)) != "may-have-run" {
 		t.Errorf("slow sender: %v, %v", resp, err)
 	}
 }
