--- a/internal/peer/pass/pass_test.go
+++ b/internal/peer/pass/pass_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/link"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
@@ -111,17 +112,18 @@
 	}
 	via.SetCell(members, nil)
 	disp.SetCell(members, nil)
-	disp.update(7, 1)
+	disp.update(7, 1, t.Pools[0].Servers[0].Address)
 	return entry, via, disp
 }
 
 // update gives the lanes to the instance.
-func (in *instance) update(token, revision uint64) {
-	sv := in.Tables().Pools[0].Servers[0]
+func (in *instance) update(token, revision uint64, addrs ...netip.AddrPort) {
+	var servers []*peerpb.Server
+	for i, a := range addrs {
+		servers = append(servers, &peerpb.Server{Name: fmt.Sprint("s", i+1), Address: a.String(), Slots: 3, Checks: true})
+	}
 	def := func(name, lane string) *peerpb.Lane {
-		return &peerpb.Lane{Name: lane, Pool: name, Revision: revision, Servers: []*peerpb.Server{
-			{Name: sv.Name, Address: sv.Address.String(), Slots: 3, Checks: true},
-		}}
+		return &peerpb.Lane{Name: lane, Pool: name, Revision: revision, Servers: servers}
 	}
 	keyed := def("cat", "cat/s1")
 	keyed.Slots = []*peerpb.Range{{First: 0, Last: 0, Token: token}}
@@ -168,7 +170,7 @@
 		t.Fatalf("token newer than the lease: %v", err)
 	}
 	a, err := send(via, request("cat"), func() {
-		disp.update(9, 2)
+		disp.update(9, 2, disp.Tables().Pools[0].Servers[0].Address)
 		via.SetList(roster.List{})
 	})
 	if err != nil || a.Status != 200 {
@@ -253,6 +255,29 @@
 	t.Error("never queued")
 }
 
+// Guards against traffic between regions that is not limited or counted, and against a limit within a region.
+func TestLink(t *testing.T) {
+	entry, via, _ := fleet(t)
+	split := *entry.Tables()
+	split.Regions = []tables.Region{{Name: "a", DCs: []string{"a1"}}, {Name: "b", DCs: []string{"b1"}}}
+	for _, in := range []*instance{entry, via} {
+		in.SetTables(&split)
+		spent := link.New(1000)
+		spent.Received(time.Now(), 0, 1<<40)
+		in.SetLink(spent)
+	}
+	if _, err := entry.Send(context.Background(), request("cat")); result.From(err).Reason != pass.ReasonLink {
+		t.Errorf("over a spent link: %v", err)
+	}
+	if _, err := via.Send(context.Background(), request("cat")); err != nil {
+		t.Errorf("within the region: %v", err)
+	}
+	entry.SetLink(link.New(1_000_000))
+	if _, err := entry.Send(context.Background(), request("cat")); err != nil || entry.Used()[0].In == 0 || entry.Used()[0].Out == 0 {
+		t.Errorf("%v, used %v", err, entry.Used())
+	}
+}
+
 // Guards against an unkeyed pool without usable local servers being refused where another data centre may serve it.
 func TestElsewhere(t *testing.T) {
 	entry, _, _ := fleet(t)
