Test the controller's core for each failure of the design

Whole data centres run in invented time: servers and controllers killed, frozen and restarted, log down, a majority of witnesses lost, changed homes, and data centres cut off with and without a yield time. At every tick no slot may be held by two servers. The tests found that a renewal of the term withdrew all grants for a moment and counted lost servers as up again; both are fixed.

--- /dev/null
+++ b/internal/place/ctrl/ctrl_test.go
@@ -0,0 +1,161 @@
+package ctrl_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+)
+
+func always() bool { return true }
+
+// Guards each failure of the design's table against taking longer than it promises, in invented time. At every tick
+// no slot may be held by two servers.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name  string
+		limit time.Duration
+		fail  func(w *world)
+		then  func(w *world)
+	}{
+		{"server killed", 3 * time.Second, func(w *world) { w.servers["e-s1"].dead = true }, nil},
+		{"server frozen and back", 3 * time.Second, func(w *world) { w.servers["e-s1"].dead = true }, func(w *world) {
+			w.servers["e-s1"].dead = false
+			w.until(20*time.Second, func() bool { return len(w.insts[0].place.Cell("e").Witnesses) == 7 })
+		}},
+		{"server restarted", 3 * time.Second, func(w *world) {
+			s := w.servers["e-s1"]
+			s.inc, s.held, s.until, s.pair.Term = 99, nil, 0, 0
+		}, nil},
+		{"controller killed", 4 * time.Second, func(w *world) { w.controller("e").dead = true }, nil},
+		{"controller and server killed", 5 * time.Second, func(w *world) {
+			w.controller("e").dead = true
+			w.servers["e-s2"].dead = true
+		}, nil},
+		{"controller frozen and back", 4 * time.Second, func(w *world) { w.controller("e").frozen = true }, func(w *world) {
+			for _, i := range w.insts {
+				i.frozen = false
+			}
+			w.until(20*time.Second, func() bool { return len(w.insts[0].place.Cell("e").Witnesses) == 7 })
+		}},
+		{"log down and server killed", 3 * time.Second, func(w *world) {
+			w.logDown = true
+			w.servers["e-s0"].dead = true
+		}, func(w *world) {
+			w.run(5 * time.Second)
+			w.logDown = false
+			w.until(10*time.Second, func() bool { c := w.controller("e"); return c != nil && c.core.Unlogged == 0 })
+			for slot, s := range w.insts[0].place.Slots("p") {
+				if s.Owner == "e-s0" {
+					t.Errorf("move of slot %d was not recorded", slot)
+				}
+			}
+		}},
+		{"log down, controller and server killed", 6 * time.Second, func(w *world) {
+			w.logDown = true
+			w.run(3 * time.Second)
+			w.controller("e").dead = true
+			w.servers["e-s0"].dead = true
+		}, func(w *world) {
+			w.logDown = false
+			w.until(20*time.Second, func() bool { c := w.controller("e"); return c != nil && c.core.Unlogged == 0 })
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, []string{"e"}, 3, 4, 0)
+			w.until(5*time.Second, always)
+			w.run(5 * time.Second)
+			c.fail(w)
+			took := w.outage(10 * time.Second)
+			t.Logf("served again after %v", took)
+			if took == 0 || took > c.limit {
+				t.Errorf("a slot was unserved until %v after the failure, the limit is %v", took, c.limit)
+			}
+			if c.then != nil {
+				c.then(w)
+			}
+			w.until(5*time.Second, always)
+		})
+	}
+}
+
+// Guards the way out when a majority of the witnesses is lost at once: nothing is granted until the list has not
+// shown them for a minute.
+func TestMajorityOfWitnessesLost(t *testing.T) {
+	w := newWorld(t, []string{"e"}, 4, 2, 0)
+	w.until(5*time.Second, always)
+	w.run(5 * time.Second)
+	for _, i := range w.insts[1:] {
+		i.dead = true
+	}
+	w.servers["e-s0"].dead = true
+	w.list.Instances = w.list.Instances[:1]
+	w.publish()
+	w.run(50 * time.Second)
+	if n := w.check(); n != 0 {
+		t.Fatalf("%d slots are held without a majority", n)
+	}
+	w.until(30*time.Second, always)
+}
+
+// Guards the homes: every data centre serves its share, and a new one gets its slots from the others.
+func TestHomesFollowTables(t *testing.T) {
+	w := newWorld(t, []string{"e", "w"}, 2, 2, 0)
+	pool := w.tables.Pools[0]
+	pool.Servers = append([]tables.Server(nil), pool.Servers[:2]...)
+	full := w.tables
+	w.tables = &tables.Tables{Pools: []tables.Pool{pool}}
+	w.publish()
+	w.until(5*time.Second, always)
+	w.tables = full
+	w.publish()
+	share := func() (n int) {
+		for _, s := range w.insts[0].place.Slots("p") {
+			if s.DC == "w" {
+				n++
+			}
+		}
+		return n
+	}
+	w.until(20*time.Second, func() bool { return share() > slots/4 && w.heldIn("w") == share() })
+}
+
+// Guards cutoff: a pool with a yield time is served elsewhere after its data centre was cut off, never at the same
+// time; without one it stays until operators declare the data centre lost.
+func TestDataCentreCutOff(t *testing.T) {
+	cut := func(w *world) {
+		for _, i := range w.insts {
+			i.offlog = i.dc == "w"
+		}
+	}
+	t.Run("yield", func(t *testing.T) {
+		w := newWorld(t, []string{"e", "w"}, 2, 2, 2*time.Second)
+		w.until(5*time.Second, always)
+		w.run(2 * time.Second)
+		cut(w)
+		w.until(12*time.Second, func() bool { return w.heldIn("e") == slots })
+		for _, i := range w.insts {
+			i.offlog = false
+		}
+		w.until(20*time.Second, func() bool { return w.heldIn("w") > 0 })
+	})
+	t.Run("stay", func(t *testing.T) {
+		w := newWorld(t, []string{"e", "w"}, 2, 2, 0)
+		w.until(5*time.Second, always)
+		w.run(2 * time.Second)
+		cut(w)
+		if gap := w.outage(20 * time.Second); gap > 0 || w.heldIn("w") == 0 {
+			t.Errorf("a data centre that stays stopped serving: %v", gap)
+		}
+		for _, i := range w.insts {
+			i.dead = i.dc == "w"
+		}
+		for _, s := range w.servers {
+			s.dead = s.dc == "w"
+		}
+		w.lost = []string{"w"}
+		w.publish()
+		w.until(10*time.Second, func() bool { return w.heldIn("e") == slots })
+	})
+}
--- a/internal/place/drive/drive.go
+++ b/internal/place/drive/drive.go
@@ -48,7 +48,7 @@
 const (
 	stepEvery     = 50 * time.Millisecond
 	stepSoon      = 10 * time.Millisecond // when something has changed that was not planned for yet
-	appendTimeout = 2 * time.Second // longer than the controller waits: a late answer still tells that the log is back
+	appendTimeout = 2 * time.Second       // longer than the controller waits: a late answer still tells that the log is back
 	callTimeout   = lease.Interval
 )
 
--- a/internal/place/fleet/fleet.go
+++ b/internal/place/fleet/fleet.go
@@ -123,7 +123,10 @@
 
 // Begin starts to work under pair at now. A holder that renews its term keeps what it granted.
 func (f *Fleet) Begin(now time.Time, pair lease.Pair, renewing bool) {
-	f.pair, f.since = pair, now
+	f.pair = pair
+	if !renewing {
+		f.since = now
+	}
 	for _, s := range f.servers {
 		s.Confirmed = false
 		if !renewing {
--- a/internal/place/fleet/server.go
+++ b/internal/place/fleet/server.go
@@ -70,6 +70,10 @@
 // Parting reports whether the server is leaving by the word of the list, the tables or itself.
 func (s *Server) Parting() bool { return s.leaving || s.unlisted || s.Leaving }
 
+// Clean reports whether the server has dropped what others than this holder granted, as far as the holder knows. While
+// it renews its term, servers that have not confirmed the new pair keep their slots.
+func (s *Server) Clean() bool { return s.step == regular }
+
 // Learn returns what the server reported to hold, once.
 func (s *Server) Learn() map[uint32]uint64 {
 	if !s.learn {
--- a/internal/place/slots/slots.go
+++ b/internal/place/slots/slots.go
@@ -449,7 +449,7 @@
 			continue
 		}
 		s := c.Fleet.Server(cur.Owner)
-		if s == nil || s.Pool != v.name || (s.Checks && !s.Confirmed) {
+		if s == nil || s.Pool != v.name || (s.Checks && !s.Clean()) {
 			continue
 		}
 		if fleet.Has(s.Set, i, cur.Token) || (c.settled(v, i, s, cur.Token) && c.free(v, i, s.Name)) {
@@ -539,8 +539,8 @@
 
 // override moves slots without the log.
 func (c *Pass) override(v *view) {
-	for i, m := range v.moves {
-		s := v.slots[i]
+	for _, i := range slices.Sorted(maps.Keys(v.moves)) {
+		m, s := v.moves[i], v.slots[i]
 		if m.stage != giving || m.to == "" || s.DC != c.DC {
 			continue
 		}
