--- a/internal/place/ctrl/ctrl_test.go
+++ b/internal/place/ctrl/ctrl_test.go
@@ -171,7 +171,7 @@
 		names = append(names, row.Name)
 	}
 	s := w.servers[names[w.rng.IntN(len(names))]]
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(12) {
 	case 0, 1:
 		s.dead = !s.dead
 	case 2:
@@ -184,7 +184,9 @@
 		w.logDown = !w.logDown
 	case 7:
 		i.offlog = !i.offlog
-	case 8:
+	case 8, 9, 10:
+		w.split(names)
+	case 11:
 		for _, n := range names {
 			i.cut[n] = w.rng.IntN(2) == 0
 		}
@@ -194,6 +196,22 @@
 	}
 }
 
+// split partitions servers and instances into two sides.
+func (w *world) split(names []string) {
+	side := make(map[string]bool)
+	for _, n := range names {
+		side[n] = w.rng.IntN(2) == 0
+	}
+	for _, i := range w.insts {
+		side[i.name] = w.rng.IntN(2) == 0
+	}
+	for _, i := range w.insts {
+		for n, s := range side {
+			i.cut[n] = s != side[i.name]
+		}
+	}
+}
+
 // repair ends all faults.
 func (w *world) repair() {
 	w.logDown = false
