--- a/internal/place/drive/drive_test.go
+++ b/internal/place/drive/drive_test.go
@@ -197,3 +197,20 @@
 		t.Errorf("slots waited for a lapse: %v", longest)
 	}
 }
+
+// Guards servers that don't check tokens: their slots move by the word of dispatchers, and never while an instance may
+// still send requests to the old owner.
+func TestServersThatDoNotCheck(t *testing.T) {
+	r := newRig(t, 3, 4, false)
+	r.eventually("all slots dispatched", r.served)
+	for _, n := range r.all() {
+		n.mu.Lock()
+		n.fails = map[string]bool{"s1": true}
+		n.mu.Unlock()
+	}
+	r.eventually("slots recorded for other servers", func() bool { return r.all()[0].recorded("s1") == 0 })
+	r.eventually("all slots dispatched", r.served)
+	old := r.controller()
+	r.stop(old)
+	r.eventually("all slots dispatched again", func() bool { n := r.controller(); return n != nil && n != old && r.served() })
+}
