Send Retry-After with every 503

Cause: the front set it only for not-run, while refusals of at-most-once work that could not be claimed have said may-have-run since the contract changed. Ruled out: the ledger sets RetryAfter (checked in its refuse function). Before: TestLogDown in test/once failed with an empty Retry-After. After: it passes.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -177,7 +177,7 @@
 	h.SetStatusCode(e.Status)
 	h.Header.Set(result.Header, e.Verdict.String())
 	h.Header.SetContentType("application/json")
-	if e.Verdict == result.NotRun && e.Status == fasthttp.StatusServiceUnavailable {
+	if e.Status == fasthttp.StatusServiceUnavailable {
 		h.Header.Set("Retry-After", work.Seconds(e.RetryAfter))
 	}
 	body, _ := json.Marshal(problem{Error: e.Reason, Verdict: e.Verdict.String(), Request: id})
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -85,6 +85,8 @@
 		Send: func(context.Context, *work.Request) (work.Answer, error) { return work.Answer{}, fail },
 	})
 	blocked := start(t, front.Config{Check: func(time.Time, [16]byte) (time.Duration, bool) { return time.Minute, true }})
+	unclaimed := &result.Error{Verdict: result.MayHaveRun, Status: 503, Reason: "ledger-down", RetryAfter: time.Second}
+	outage := start(t, front.Config{Send: func(context.Context, *work.Request) (work.Answer, error) { return work.Answer{}, unclaimed }})
 	broken := start(t, front.Config{Send: func(context.Context, *work.Request) (work.Answer, error) { panic("fault") }})
 	for name, c := range map[string]struct {
 		*fixture
@@ -99,6 +101,7 @@
 		"long header": {ok, get("/plain", "X: "+strings.Repeat("h", 1100)), "not-run", front.ReasonRequest, "", 431},
 		"method":      {ok, "FETCH /plain HTTP/1.1\r\nHost: x\r\n\r\n", "not-run", "", "", 400},
 		"refused":     {full, get("/plain"), "not-run", "queue-full", "2", 503},
+		"unclaimed":   {outage, get("/plain"), "may-have-run", "ledger-down", "1", 503},
 		"quarantine":  {blocked, get("/plain"), "not-run", front.ReasonQuarantine, "60", 503},
 		"panic":       {broken, get("/plain"), "may-have-run", front.ReasonPanic, "", 500},
 	} {
