--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -3,9 +3,13 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
 	"github.com/bramleycove/bramleycove/internal/stand/rig"
 )
 
@@ -97,14 +101,45 @@
 	return r
 }
 
-// keys is enough for each slot to have one, with high probability.
-const keys = 8 * Slots
+// Keys returns one key for each slot of the keyed pool, by slot.
+func Keys() []int {
+	out, found := make([]int, Slots), make([]bool, Slots)
+	for key, missing := 0, Slots; missing > 0; key++ {
+		if slot := xxhash.Sum64String(fmt.Sprintf("k%d", key)) % Slots; !found[slot] {
+			out[slot], found[slot] = key, true
+			missing--
+		}
+	}
+	return out
+}
 
-// Served waits until lookups of many keys succeed through an instance.
+// askers is the number of callers that look at once whether keys are served.
+const askers = 8
+
+// Served waits until a lookup of a key of each slot has succeeded through an instance.
 func Served(r *rig.Rig, instance string) {
-	for key := range keys {
-		r.Await(fmt.Sprintf("key %d is served through %s", key, instance), Patience, func() bool {
-			return r.Call(instance, Lookup(key)).Status == 200
+	var wg conc.WaitGroup
+	var served atomic.Int64
+	end := time.Now().Add(Patience)
+	keys := Keys()
+	for n := range askers {
+		wg.Go(func() {
+			for slot := n; slot < Slots; slot += askers {
+				for time.Now().Before(end) {
+					if r.Call(instance, Lookup(keys[slot])).Status == 200 {
+						served.Add(1)
+						break
+					}
+					time.Sleep(askInterval)
+				}
+			}
 		})
 	}
+	wg.Wait()
+	if n := served.Load(); n < Slots {
+		r.Fatalf("%d of %d slots are not served through %s within %v", Slots-n, Slots, instance, Patience)
+	}
 }
+
+// askInterval limits the load by lookups of slots that are not served yet.
+const askInterval = 10 * time.Millisecond
--- a/internal/stand/judge/judge.go
+++ b/internal/stand/judge/judge.go
@@ -92,16 +92,22 @@
 // Counts tells how much a record holds, so that a test can make sure that it judged something.
 type Counts struct {
 	Grants, Executions, Committed, Calls, Ran, NotRun int
+	Slots                                             int // in which something was committed
 }
 
 // Counts returns the numbers of events.
 func (r *Record) Counts() Counts {
 	c := Counts{Grants: len(r.grants), Executions: len(r.execs), Calls: len(r.calls)}
+	slots := map[cell]bool{}
 	for _, ev := range r.execs {
 		if ev.Committed {
 			c.Committed++
+			if ev.Slot != trace.NoSlot {
+				slots[cell{ev.Pool, ev.Slot}] = true
+			}
 		}
 	}
+	c.Slots = len(slots)
 	for _, ev := range r.calls {
 		switch {
 		case ran(ev):
--- a/internal/stand/judge/judge_test.go
+++ b/internal/stand/judge/judge_test.go
@@ -49,7 +49,7 @@
 	if v := r.All(); len(v) > 0 {
 		t.Errorf("violations of a sound run: %v", v)
 	}
-	want := judge.Counts{Grants: 4, Executions: 4, Committed: 3, Calls: 4, Ran: 2, NotRun: 1}
+	want := judge.Counts{Grants: 4, Executions: 4, Committed: 3, Calls: 4, Ran: 2, NotRun: 1, Slots: 2}
 	if got := r.Counts(); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
--- a/internal/stand/rig/rig.go
+++ b/internal/stand/rig/rig.go
@@ -355,6 +355,12 @@
 	return addr
 }
 
+// Fatalf ends the test as failed.
+func (r *Rig) Fatalf(format string, args ...any) {
+	r.tb.Helper()
+	r.tb.Fatalf(format, args...)
+}
+
 // Await polls until done returns true, and fails the test after the given time.
 func (r *Rig) Await(what string, within time.Duration, done func() bool) {
 	r.tb.Helper()
