--- a/internal/stand/fleet/load.go
+++ b/internal/stand/fleet/load.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"github.com/bramleycove/bramleycove/internal/stand/rig"
 )
@@ -19,9 +21,14 @@
 	answers []rig.Answer
 }
 
+// pace is the number of calls a second of a load. It is far below what a small system can serve, so that tests that
+// run at once do not take the machine from each other.
+const pace = 300
+
 // Start starts callers. Each sends the calls that next returns for growing numbers, to the instances in turn.
 func Start(r *rig.Rig, callers int, instances []string, next func(n int) rig.Call) *Load {
 	l := &Load{stop: make(chan struct{})}
+	limit := rate.NewLimiter(pace, callers)
 	for range callers {
 		l.tasks.Go(func() {
 			for {
@@ -30,6 +37,7 @@
 					return
 				default:
 				}
+				_ = limit.Wait(context.Background()) // fails only with a deadline
 				n := int(l.sent.Add(1))
 				a := r.Call(instances[n%len(instances)], next(n))
 				l.mu.Lock()
--- a/test/answer/answer_test.go
+++ b/test/answer/answer_test.go
@@ -14,6 +14,7 @@
 
 // Guards against callers that receive a partial answer or that of another request as theirs.
 func TestBadAnswers(t *testing.T) {
+	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 2, Stock: 1, Cut: 1, Args: []string{"--size", "20000"}}))
 	for _, tc := range []struct {
 		how    string
@@ -33,6 +34,7 @@
 
 // Guards against answers that are mixed up between requests when connections break under load.
 func TestBrokenConnections(t *testing.T) {
+	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 3, Stock: 2, Cut: 2}))
 	l := fleet.Start(r, 8, []string{"i1", "i2", "i3"}, func(n int) rig.Call {
 		if n%2 == 0 {
--- a/test/config/config_test.go
+++ b/test/config/config_test.go
@@ -30,6 +30,7 @@
 
 // Guards against an invalid table that comes into force, and a publish command that says otherwise than the log.
 func TestInvalidTable(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	before := version(t, r, "i1")
 	code, out := r.TryPublish(strings.Replace(fleet.Routes, `"pool": "stock"`, `"pool": "stok"`, 1), r.Pools())
@@ -43,6 +44,7 @@
 
 // Guards against a publication that doubles or is reported wrong when the answer of its append is lost.
 func TestPublishAnswerLost(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	before := version(t, r, "i2")
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Lost, Only: "append", Count: 1}})
@@ -54,6 +56,7 @@
 
 // Guards against an instance that starts with an old configuration, or with none, during an outage of the log.
 func TestStartDuringOutage(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	r.Publish(strings.Replace(fleet.Routes, `"timeout": "2s"`, `"timeout": "1s"`, 1))
 	want := version(t, r, "i1")
--- a/test/crash/crash_test.go
+++ b/test/crash/crash_test.go
@@ -12,6 +12,7 @@
 
 // Guards against a request that its caller sends again and again, and that ends more than two servers.
 func TestPoison(t *testing.T) {
+	t.Parallel()
 	servers := []string{"c1", "c2", "c3", "c4"}
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{
 		Instances: 3, Stock: 1, Cut: len(servers), Args: []string{"--crash-body", "poison"},
--- a/test/drain/drain_test.go
+++ b/test/drain/drain_test.go
@@ -20,6 +20,7 @@
 
 // Guards against new work for a leaving server, and against requests that fail because one leaves.
 func TestServerLeaves(t *testing.T) {
+	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 2, Stock: 3, Cut: 2, Args: []string{"--grace", "60s"}}))
 	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) rig.Call { return fleet.Lookup(n % 100) })
 	r.Server("s1", bkend.Command{Drain: true})
@@ -44,6 +45,7 @@
 
 // Guards against requests that fail because a server is stopped.
 func TestServerStops(t *testing.T) {
+	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 2, Stock: 3, Cut: 2}))
 	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) rig.Call { return fleet.Lookup(n % 100) })
 	if code := r.Stop("s1", fleet.Patience); code != 0 {
@@ -60,6 +62,7 @@
 
 // Guards against a planned stop of an instance that cuts off a request that it accepted.
 func TestInstanceStops(t *testing.T) {
+	t.Parallel()
 	p := fleet.Plan(1, fleet.Size{Instances: 3, Stock: 2, Cut: 2})
 	p.Settings = map[string]any{"linger": "500ms"}
 	r := fleet.Up(t, p)
--- a/test/once/once_test.go
+++ b/test/once/once_test.go
@@ -33,6 +33,7 @@
 
 // Guards against a resend through another instance that runs the order again or gets another answer.
 func TestResend(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	first := r.Call("i1", fleet.Order("A"))
 	second := r.Call("i2", fleet.Order("A"))
@@ -46,6 +47,7 @@
 
 // Guards against a second run when the instance that claimed the order is killed while a server works on it.
 func TestInstanceKilled(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	for _, c := range []string{"c1", "c2"} {
 		r.Server(c, bkend.Command{Service: "1s"})
@@ -65,6 +67,7 @@
 
 // Guards against orders that double, or are lost after "ran", when answers of the log are lost.
 func TestLogAnswersLost(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Lost, Only: "append", Count: 20}})
 	l := fleet.Start(r, 4, []string{"i1", "i2", "i3"}, func(n int) rig.Call { return fleet.Order(fmt.Sprint("o", n/3)) })
@@ -75,6 +78,7 @@
 
 // Guards against at-most-once work that runs unclaimed while the log is down, or is refused after it returned.
 func TestLogDown(t *testing.T) {
+	t.Parallel()
 	r := up(t)
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Down}})
 	if a := r.Call("i1", fleet.Order("A")); a.Status != 503 || a.Verdict != "may-have-run" || a.RetryAfter == "" {
