--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -117,16 +117,18 @@
 const askers = 8
 
 // Served waits until a lookup of a key of each slot has succeeded through an instance.
-func Served(r *rig.Rig, instance string) {
+func Served(r *rig.Rig, instance string) { ServedKeys(r, instance, Keys()) }
+
+// ServedKeys waits until a lookup of each key has succeeded through an instance.
+func ServedKeys(r *rig.Rig, instance string, keys []int) {
 	var wg conc.WaitGroup
 	var served atomic.Int64
 	end := time.Now().Add(Patience)
-	keys := Keys()
 	for n := range askers {
 		wg.Go(func() {
-			for slot := n; slot < Slots; slot += askers {
+			for i := n; i < len(keys); i += askers {
 				for time.Now().Before(end) {
-					if r.Call(instance, Lookup(keys[slot])).Status == 200 {
+					if r.Call(instance, Lookup(keys[i])).Status == 200 {
 						served.Add(1)
 						break
 					}
@@ -136,9 +138,20 @@
 		})
 	}
 	wg.Wait()
-	if n := served.Load(); n < Slots {
-		r.Fatalf("%d of %d slots are not served through %s within %v", Slots-n, Slots, instance, Patience)
+	if n := int(served.Load()); n < len(keys) {
+		r.Fatalf("%d of %d keys are not served through %s within %v", len(keys)-n, len(keys), instance, Patience)
+	}
+}
+
+// Homed returns the keys of Keys whose slot is served in a data centre, as an instance explains it.
+func Homed(r *rig.Rig, instance, dc string) []int {
+	var out []int
+	for _, key := range Keys() {
+		if e, err := r.Explain(instance, Lookup(key).Path, fmt.Sprint("k", key)); err == nil && e.Home == dc {
+			out = append(out, key)
+		}
 	}
+	return out
 }
 
 // askInterval limits the load by lookups of slots that are not served yet.
--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -109,6 +109,20 @@
 	return s, r.exchange(name, "admin", "/status", fasthttp.MethodGet, nil, &s)
 }
 
+// Explanation is the answer of an instance to GET /explain, as far as tests rely on it.
+type Explanation struct {
+	Slot       uint32 `json:"slot"`
+	Home       string `json:"home"`
+	Owner      string `json:"owner"`
+	Dispatcher string `json:"dispatcher"`
+}
+
+// Explain returns where an instance would send a GET of path with the given key.
+func (r *Rig) Explain(name, path, key string) (Explanation, error) {
+	var e Explanation
+	return e, r.exchange(name, "admin", "/explain?method=GET&path="+path+"&key="+key, fasthttp.MethodGet, nil, &e)
+}
+
 // Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
 // or "" if none does.
 func (r *Rig) Controller(dc string) string {
