--- a/internal/stand/cmds/cmds.go
+++ b/internal/stand/cmds/cmds.go
@@ -22,6 +22,7 @@
 	Log    logCmd    `cmd:"" help:"Run a log service."`
 	List   listCmd   `cmd:"" help:"Run a list of instances and servers."`
 	Server serverCmd `cmd:"" help:"Run a backend server."`
+	Demo   demoCmd   `cmd:"" help:"Run a small system and show the loss of a server."`
 }
 
 // listen is the pair of addresses that each stand-in has.
