--- a/internal/stand/proc/process.go
+++ b/internal/stand/proc/process.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// Pid returns the id of the process, 0 if it was never started.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal. It fails if the process does not run.
 func (p *Process) Signal(sig syscall.Signal) error {
 	if !p.Running() {
--- a/internal/stand/rig/rig.go
+++ b/internal/stand/rig/rig.go
@@ -329,6 +329,9 @@
 // Terminate tells processes to end with SIGTERM and does not wait.
 func (r *Rig) Terminate(names ...string) { r.tb.Helper(); r.signal(syscall.SIGTERM, names) }
 
+// Pid returns the id of a process, to read what it uses.
+func (r *Rig) Pid(name string) int { return r.procs[name].Pid() }
+
 // Running tells whether a process has not ended.
 func (r *Rig) Running(name string) bool { return r.procs[name].Running() }
 
