--- a/test/bench/daemon_test.go
+++ b/test/bench/daemon_test.go
@@ -9,8 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
+	"github.com/bramleycove/bramleycove/internal/stand/proxy"
 	"github.com/bramleycove/bramleycove/internal/stand/rig"
 )
 
@@ -20,7 +23,7 @@
 const window = 5 * time.Second
 
 // BenchmarkDaemon measures what idle daemons of one data centre spend on control, as processes: processor time of the
-// controller, of the relay and of the others as part of a core, and resident memory. An iteration takes about half a minute.
+// controller, of the relay and of the others as part of a core, resident memory, and traffic. An iteration takes about half a minute.
 func BenchmarkDaemon(b *testing.B) {
 	for _, c := range []struct{ instances, servers, slots int }{
 		{3, 6, 1024}, {12, 6, 1024}, {43, 6, 1024}, {86, 6, 1024}, {3, 6, 4096}, {3, 6, 16384}, {3, 6, 65536}, {3, 4, 4096}, {3, 12, 4096}, {3, 32, 4096},
@@ -39,35 +42,75 @@
 	r := fleet.Up(b, plan)
 	// Heartbeats with news, the first snapshot and the collection of garbage settle first.
 	time.Sleep(window)
-	ctrl := r.Controller(plan.Instances[0].DC)
-	before := map[string]time.Duration{}
+	dc := plan.Instances[0].DC
+	roles := map[string]string{relayOf(dc, plan.Instances): "relay"}
+	roles[r.Controller(dc)] += "controller"
+	before := map[string]spent{}
 	for _, in := range plan.Instances {
-		before[in.Name], _ = used(b, r.Pid(in.Name))
+		before[in.Name] = spend(b, r, in.Name)
 	}
+	grants := granted(r)
 	time.Sleep(window)
-	var others []float64
-	var rss []float64
+	var cores, rss, log []float64
 	for _, in := range plan.Instances {
-		t, mem := used(b, r.Pid(in.Name))
-		share := 100 * (t - before[in.Name]).Seconds() / window.Seconds()
-		if in.Name == ctrl {
-			b.ReportMetric(share, "%core-controller")
-			b.ReportMetric(mem, "MB-controller")
+		now, was := spend(b, r, in.Name), before[in.Name]
+		share := 100 * (now.time - was.time).Seconds() / window.Seconds()
+		if role := roles[in.Name]; role != "" {
+			b.ReportMetric(share, "%core-"+role)
+			b.ReportMetric(now.rss, "MB-"+role)
+			b.ReportMetric(float64(now.peer-was.peer)/1e3/window.Seconds(), "kB/s-"+role)
 			continue
 		}
-		others, rss = append(others, share), append(rss, mem)
+		cores, rss, log = append(cores, share), append(rss, now.rss), append(log, float64(now.log-was.log)/1e3/window.Seconds())
+	}
+	b.ReportMetric(float64(granted(r)-grants)/1e3/window.Seconds(), "kB/s-grants")
+	for unit, all := range map[string][]float64{"%core": cores, "MB": rss, "kB/s-log": log} {
+		if slices.Sort(all); len(all) > 0 {
+			b.ReportMetric(all[len(all)/2], unit+"-median")
+			b.ReportMetric(all[len(all)-1], unit+"-max")
+		}
 	}
-	slices.Sort(others)
-	slices.Sort(rss)
-	b.ReportMetric(others[len(others)/2], "%core-median")
-	b.ReportMetric(others[len(others)-1], "%core-max")
-	b.ReportMetric(rss[len(rss)/2], "MB-median")
-	b.ReportMetric(rss[len(rss)-1], "MB-max")
 	for _, in := range plan.Instances {
 		r.Kill(in.Name)
 	}
 }
 
+// relayOf returns the instance that reads the log for the others of its data centre, as package daemon chooses it.
+func relayOf(dc string, instances []rig.Instance) string {
+	best := instances[0].Name
+	for _, in := range instances {
+		if xxhash.Sum64String(dc+"\x00"+in.Name) > xxhash.Sum64String(dc+"\x00"+best) {
+			best = in.Name
+		}
+	}
+	return best
+}
+
+// spent is what a daemon has used since its start. Bytes are counted by the proxies, in both directions.
+type spent struct {
+	time time.Duration
+	rss  float64 // MB
+	peer int64   // bytes of calls that it served
+	log  int64   // bytes of its calls of log and list
+}
+
+func spend(b *testing.B, r *rig.Rig, name string) (s spent) {
+	s.time, s.rss = used(b, r.Pid(name))
+	s.peer = passed(r.Front(name))
+	s.log = passed(r.Link(name, rig.Log)) + passed(r.Link(name, rig.List))
+	return s
+}
+
+func passed(p *proxy.Proxy) int64 { return p.Bytes(proxy.Out) + p.Bytes(proxy.Back) }
+
+// granted returns the bytes that went between the controller and the servers while there is no load.
+func granted(r *rig.Rig) (n int64) {
+	for _, s := range r.Plan.Servers {
+		n += passed(r.Front(s.Name))
+	}
+	return n
+}
+
 // used returns the processor time and the resident memory in MB of a process.
 func used(b *testing.B, pid int) (time.Duration, float64) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
