--- a/internal/stand/cmds/cmds.go
+++ b/internal/stand/cmds/cmds.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/listsv"
+	"github.com/bramleycove/bramleycove/internal/stand/load"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 )
 
@@ -22,6 +23,7 @@
 	Log    logCmd    `cmd:"" help:"Run a log service."`
 	List   listCmd   `cmd:"" help:"Run a list of instances and servers."`
 	Server serverCmd `cmd:"" help:"Run a backend server."`
+	Load   loadCmd   `cmd:"" help:"Play callers."`
 }
 
 // listen is the pair of addresses that each stand-in has.
@@ -74,6 +76,11 @@
 	return nil
 }
 
+type loadCmd struct{ load.Settings }
+
+// Run plays the callers and writes the result.
+func (c *loadCmd) Run(ctx context.Context, out output) error { return c.Settings.Run(ctx, out) }
+
 // Main runs the command line and returns the exit code: 0 after a regular end, 1 after a failure, 2 when the command
 // line is wrong.
 func Main(args []string, stdout, stderr io.Writer) int {
--- a/internal/stand/load/load.go
+++ b/internal/stand/load/load.go
@@ -93,6 +93,8 @@
 
 // Attempt is one sending of a request, as its caller saw it.
 type Attempt struct {
+	Kind       string
+	At         time.Duration // planned arrival of the request
 	Mark       string // unique; sent in the header Mark
 	Identity   string // empty for work that may repeat
 	Instance   netip.AddrPort
@@ -135,6 +137,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	a := Attempt{
+		Kind: q.kind.Name, At: q.at,
 		Mark: fmt.Sprintf("%x-%d", q.random.Uint64(), try), Identity: q.identity,
 		Instance: r.Instances[q.random.IntN(len(r.Instances))], Begin: time.Now(),
 	}
--- a/internal/stand/load/profile.go
+++ b/internal/stand/load/profile.go
@@ -36,3 +36,6 @@
 		{Name: "settlement", Rank: "bulk", Method: "POST", Path: "/settlements", Header: "X-Settlement-Id", Capacity: 8 * slots, Load: 0.5, Flood: "flood-low", Target: 5 * time.Second, Worth: 1, Patience: 30 * time.Second},
 	},
 }
+
+// Kinds returns the kinds of work of a profile.
+func Kinds(profile string) []Kind { return profiles[profile] }
--- a/internal/stand/load/stats.go
+++ b/internal/stand/load/stats.go
@@ -109,10 +109,11 @@
 	case s.JSON:
 		return json.NewEncoder(w).Encode(r)
 	}
-	return r.table(w)
+	return r.Table(w)
 }
 
-func (r *Result) table(w io.Writer) error {
+// Table writes the result as aligned text.
+func (r *Result) Table(w io.Writer) error {
 	fmt.Fprintf(w, "scenario %s, seed %d, %g s, score %.4f\n", r.Scenario, r.Seed, r.Seconds, r.Score)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "kind\trank\tphase\toffered\tanswered\twithin\trefused\tuncertain\tresends\tunsent\tp50 ms\tp90 ms\tp99 ms\tmax ms\t")
--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -109,6 +109,12 @@
 	return s, r.exchange(name, "admin", "/status", fasthttp.MethodGet, nil, &s)
 }
 
+// Caller returns the address of the caller listener of an instance.
+func (r *Rig) Caller(instance string) netip.AddrPort {
+	r.tb.Helper()
+	return r.address(instance, "caller")
+}
+
 // Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
 // or "" if none does.
 func (r *Rig) Controller(dc string) string {
