--- a/internal/stand/load/load.go
+++ b/internal/stand/load/load.go
@@ -95,8 +95,8 @@
 type Attempt struct {
 	Kind       string
 	At         time.Duration // planned arrival of the request
-	Mark       string // unique; sent in the header Mark
-	Identity   string // empty for work that may repeat
+	Mark       string        // unique; sent in the header Mark
+	Identity   string        // empty for work that may repeat
 	Instance   netip.AddrPort
 	Begin, End time.Time
 	Status     int // 0 if there was no whole answer
