--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -123,6 +123,12 @@
 	return e, r.exchange(name, "admin", "/explain?method=GET&path="+path+"&key="+key, fasthttp.MethodGet, nil, &e)
 }
 
+// Caller returns the address of the caller listener of an instance.
+func (r *Rig) Caller(instance string) netip.AddrPort {
+	r.tb.Helper()
+	return r.address(instance, "caller")
+}
+
 // Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
 // or "" if none does.
 func (r *Rig) Controller(dc string) string {
