--- a/internal/place/ctrl/cell_test.go
+++ b/internal/place/ctrl/cell_test.go
@@ -155,6 +155,7 @@
 
 func (w *world) perform(i *inst, a ctrl.Action) {
 	switch {
+	case a.Event != nil && w.t == nil:
 	case a.Event != nil:
 		w.t.Log(w.now.Sub(time.Unix(1000, 0)), i.name, a.Event.Name, a.Event.Fields)
 	case a.Append != nil:
--- a/internal/place/ctrl/ctrl_test.go
+++ b/internal/place/ctrl/ctrl_test.go
@@ -29,6 +29,10 @@
 			s := w.servers["e-s1"]
 			s.inc, s.held, s.until, s.pair.Term = 99, nil, 0, 0
 		}, nil},
+		{"server has seen higher tokens", 3 * time.Second, func(w *world) {
+			s := w.servers["e-s1"]
+			s.seen[s.held[0].First], s.held, s.until = s.held[0].Token+1, nil, 0
+		}, nil},
 		{"controller killed", 4 * time.Second, func(w *world) { w.controller("e").dead = true }, nil},
 		{"controller and server killed", 5 * time.Second, func(w *world) {
 			w.controller("e").dead = true
--- a/internal/place/lease/quorum.go
+++ b/internal/place/lease/quorum.go
@@ -12,6 +12,7 @@
 type Quorum struct {
 	seen map[string]time.Time // zero: never confirmed
 	gone map[string]bool
+	ends time.Time // Until as last computed; later confirmations only extend it
 }
 
 // NewQuorum returns a quorum of the witness set ids without confirmations.
@@ -34,6 +35,10 @@
 
 // Gone sets whether the platform's word is that witness id no longer exists. It then counts as confirming.
 func (q *Quorum) Gone(id string, gone bool) {
+	if q.gone[id] == gone {
+		return
+	}
+	q.ends = time.Time{}
 	if gone {
 		q.gone[id] = true
 	} else {
@@ -64,4 +69,9 @@
 }
 
 // Holds reports whether the pair has authority at now.
-func (q *Quorum) Holds(now time.Time) bool { return now.Before(q.Until()) }
+func (q *Quorum) Holds(now time.Time) bool {
+	if !now.Before(q.ends) {
+		q.ends = q.Until()
+	}
+	return now.Before(q.ends)
+}
--- a/internal/place/slots/slots.go
+++ b/internal/place/slots/slots.go
@@ -24,6 +24,8 @@
 	// are cut off by it are refused by the server as not run.
 	drainMax     = 2 * time.Second
 	balanceEvery = time.Second
+	// renewEvery bounds the appends for a server that refuses each token.
+	renewEvery = 5 * time.Second
 	// unreachable is how long no instance of a data centre has answered before its slots are seized.
 	unreachable = 3 * time.Second
 )
@@ -59,7 +61,9 @@
 	append   *Pending
 	retry    time.Time
 	balanced time.Time
-	stopped  bool // cut off from the log for longer than yield
+	renewed  time.Time // when tokens that a server refused were last replaced
+	mine     []uint32  // slots that are or should be homed here, of the last pass
+	stopped  bool      // cut off from the log for longer than yield
 }
 
 // rate is the load of a slot as a dispatcher reported it. Only the hottest slots are reported, so that silence means
@@ -116,23 +120,30 @@
 	}
 }
 
-// slot returns the assignment in force: the recorded one, or a later one that is not recorded yet.
-func (p *Pool) slot(i uint32, recorded fold.Slot) fold.Slot {
-	if o, ok := p.over[i]; ok && o.Token > recorded.Token && recorded.DC == o.DC {
-		return o
-	}
-	return recorded
-}
-
 // view is one pass over a pool: the slots that are or should be homed here.
 type view struct {
 	*Pool
-	name    string
-	slots   []fold.Slot // of the whole pool, in force
-	mine    []uint32
-	servers []homes.Server
-	notes   map[note]*slotList
-	order   []note
+	name     string
+	recorded []fold.Slot // of the whole pool, empty before the first assignment
+	count    int         // of slots
+	mine     []uint32
+	servers  []homes.Server
+	last     int // index of the server looked up last
+	notes    map[note]*slotList
+	order    []note
+}
+
+// at returns the assignment in force: the recorded one, or a later one that is not recorded yet.
+func (v *view) at(i uint32) fold.Slot {
+	if len(v.over) > 0 {
+		if o, ok := v.over[i]; ok {
+			return o
+		}
+	}
+	if len(v.recorded) == 0 {
+		return fold.Slot{}
+	}
+	return v.recorded[i]
 }
 
 // look collects what is homed here, and who can own it.
@@ -143,26 +154,31 @@
 			c.learn(p, s)
 		}
 	}
-	recorded := c.Place.Slots(t.Name)
-	v := &view{Pool: p, name: t.Name, notes: make(map[note]*slotList), slots: make([]fold.Slot, max(len(recorded), int(t.Slots)))}
-	if len(recorded) > 0 {
-		v.slots = v.slots[:len(recorded)]
+	v := &view{Pool: p, name: t.Name, notes: make(map[note]*slotList), recorded: c.Place.Slots(t.Name)}
+	v.count = len(v.recorded)
+	if v.count == 0 {
+		v.count = int(t.Slots)
 	}
-	if len(p.homes) != len(v.slots) {
-		p.home(c.Lost, t, len(v.slots))
+	if len(p.homes) != v.count {
+		p.home(c.Lost, t, v.count)
 		p.linger = longest(c.Tables, t.Name)
 	}
-	for i := range v.slots {
-		if i < len(recorded) {
-			v.slots[i] = p.slot(uint32(i), recorded[i])
-			if o, ok := p.over[uint32(i)]; ok && (o.Token <= recorded[i].Token || recorded[i].DC != c.DC) {
-				delete(p.over, uint32(i))
-			}
+	for i, o := range p.over {
+		if int(i) >= len(v.recorded) || o.Token <= v.recorded[i].Token || v.recorded[i].DC != c.DC {
+			delete(p.over, i)
 		}
-		if dc := v.slots[i].DC; dc == c.DC || (dc == "" && p.homes[i] == c.DC) {
-			v.mine = append(v.mine, uint32(i))
+	}
+	p.mine = p.mine[:0]
+	for i := range uint32(v.count) {
+		dc := ""
+		if len(v.recorded) > 0 {
+			dc = v.recorded[i].DC
+		}
+		if dc == c.DC || (dc == "" && p.homes[i] == c.DC) {
+			p.mine = append(p.mine, i)
 		}
 	}
+	v.mine = p.mine
 	for i := range t.Servers {
 		if s := c.Fleet.Server(t.Servers[i].Name); s != nil {
 			v.servers = append(v.servers, homes.Server{
@@ -210,9 +226,14 @@
 	c.tellNotes(v)
 }
 
+// server returns a server of the pool. Most slots have the owner of the slot before.
 func (v *view) server(n string) (homes.Server, bool) {
-	for _, s := range v.servers {
+	if v.last < len(v.servers) && v.servers[v.last].Name == n {
+		return v.servers[v.last], true
+	}
+	for i, s := range v.servers {
 		if s.Name == n {
+			v.last = i
 			return s, true
 		}
 	}
@@ -223,41 +244,43 @@
 func (c *Pass) decide(v *view) {
 	for i, m := range v.moves {
 		s, ok := v.server(m.to)
-		if m.to == "" && v.homes[i] == c.DC || m.to != "" && (!ok || !s.Up || v.slots[i].DC == "" && v.homes[i] != c.DC) {
+		if m.to == "" && v.homes[i] == c.DC || m.to != "" && (!ok || !s.Up || v.at(i).DC == "" && v.homes[i] != c.DC) {
 			delete(v.moves, i)
 		}
 	}
 	c.leaveHome(v)
 	c.renewTokens(v)
-	list := make([]homes.Slot, len(v.mine))
-	var idle int
-	for k, i := range v.mine {
-		list[k] = homes.Slot{Owner: c.keeper(v, i), Load: v.rate(i, c.Now)}
-		if list[k].Owner == "" {
-			idle++
-		}
-	}
-	if idle > 0 {
-		for _, mv := range homes.Spread(v.servers, list) {
+	if slices.ContainsFunc(v.mine, func(i uint32) bool { return c.keeper(v, i) == "" }) {
+		for _, mv := range homes.Spread(v.servers, c.shares(v)) {
 			i := v.mine[mv.Slot]
 			if v.moves[i] == nil && c.vacant(v, i) {
 				c.start(v, i, mv.To)
 			}
 		}
+		return
 	}
-	if c.Balance == nil || c.Now.Sub(v.balanced) < balanceEvery || idle > 0 || len(v.moves) > 0 {
+	if c.Balance == nil || c.Now.Sub(v.balanced) < balanceEvery || len(v.moves) > 0 {
 		return
 	}
 	v.balanced = c.Now
-	for _, mv := range c.Balance(v.name, c.Now, v.servers, list) {
+	for _, mv := range c.Balance(v.name, c.Now, v.servers, c.shares(v)) {
 		i := v.mine[mv.Slot]
-		if s, ok := v.server(mv.To); ok && s.Up && !s.Leaving && v.moves[i] == nil && v.slots[i].Owner != mv.To {
-			v.moves[i] = &move{to: mv.To, why: "balance", since: c.Now, from: v.slots[i].Token}
+		if s, ok := v.server(mv.To); ok && s.Up && !s.Leaving && v.moves[i] == nil && v.at(i).Owner != mv.To {
+			v.moves[i] = &move{to: mv.To, why: "balance", since: c.Now, from: v.at(i).Token}
 		}
 	}
 	c.tell(v)
 }
 
+// shares returns the slots as the balancer sees them.
+func (c *Pass) shares(v *view) []homes.Slot {
+	list := make([]homes.Slot, len(v.mine))
+	for k, i := range v.mine {
+		list[k] = homes.Slot{Owner: c.keeper(v, i), Load: v.rate(i, c.Now)}
+	}
+	return list
+}
+
 // keeper returns the server that owns a slot or is about to, "" if it has to be given to another.
 func (c *Pass) keeper(v *view, i uint32) string {
 	if m := v.moves[i]; m != nil {
@@ -266,7 +289,7 @@
 		}
 		return m.to
 	}
-	if s, ok := v.server(v.slots[i].Owner); ok && s.Up && !s.Leaving {
+	if s, ok := v.server(v.at(i).Owner); ok && s.Up && !s.Leaving {
 		return s.Name
 	}
 	return ""
@@ -274,7 +297,7 @@
 
 // vacant reports whether a slot without a usable owner may be given to another now.
 func (c *Pass) vacant(v *view, i uint32) bool {
-	s := v.slots[i]
+	s := v.at(i)
 	if s.DC == "" {
 		return !c.Log.Down || v.append == nil
 	}
@@ -291,10 +314,10 @@
 
 // start begins to move a slot whose owner is missing, lost or leaving.
 func (c *Pass) start(v *view, i uint32, to string) {
-	m := &move{to: to, since: c.Now, stage: giving, from: v.slots[i].Token}
-	s, known := v.server(v.slots[i].Owner)
+	m := &move{to: to, since: c.Now, stage: giving, from: v.at(i).Token}
+	s, known := v.server(v.at(i).Owner)
 	switch {
-	case v.slots[i].Owner == "":
+	case v.at(i).Owner == "":
 		m.why = "adopt"
 	case !known:
 		m.why = "removed"
@@ -304,7 +327,7 @@
 		m.why, m.stage = "leaving", draining
 	}
 	v.moves[i] = m
-	c.note(v, m.why, v.slots[i].Owner, to, i)
+	c.note(v, m.why, v.at(i).Owner, to, i)
 }
 
 // note is a decision about slots.
@@ -356,7 +379,7 @@
 func (c *Pass) tell(v *view) {
 	for _, i := range slices.Sorted(maps.Keys(v.moves)) {
 		if m := v.moves[i]; m.why == "balance" && m.since.Equal(c.Now) {
-			c.note(v, m.why, v.slots[i].Owner, m.to, i)
+			c.note(v, m.why, v.at(i).Owner, m.to, i)
 		}
 	}
 }
@@ -367,7 +390,7 @@
 		return
 	}
 	for _, i := range v.mine {
-		s := v.slots[i]
+		s := v.at(i)
 		if s.DC == c.DC && v.homes[i] != c.DC && v.homes[i] != "" && v.moves[i] == nil && c.reachable(v.homes[i]) {
 			v.moves[i] = &move{why: "home", since: c.Now, from: s.Token}
 			c.note(v, "home", s.Owner, v.homes[i], i)
@@ -380,12 +403,18 @@
 	return c.Remote == nil || c.Now.Sub(c.Remote(dc)) < unreachable
 }
 
-// renewTokens gives the slots of a server that has seen higher tokens to the same server with new ones.
+// renewTokens gives the slots of a server that has seen higher tokens to the same server with new ones. A refusal
+// doesn't say which token it was.
 func (c *Pass) renewTokens(v *view) {
+	if c.Now.Sub(v.renewed) < renewEvery ||
+		!slices.ContainsFunc(v.servers, func(s homes.Server) bool { return c.Fleet.Server(s.Name).Stale }) {
+		return
+	}
+	v.renewed = c.Now
 	for _, i := range v.mine {
-		cur := v.slots[i]
+		cur := v.at(i)
 		s := c.Fleet.Server(cur.Owner)
-		if s == nil || !s.Stale || v.moves[i] != nil || fleet.Has(s.Granted, i, cur.Token) {
+		if s == nil || !s.Stale || v.moves[i] != nil || !fleet.Has(s.Set, i, cur.Token) {
 			continue
 		}
 		v.moves[i] = &move{to: cur.Owner, why: "token", since: c.Now, stage: giving, bump: true, from: cur.Token}
@@ -399,7 +428,7 @@
 // progress takes slots away from their owners.
 func (c *Pass) progress(v *view) {
 	for i, m := range v.moves {
-		s := v.slots[i]
+		s := v.at(i)
 		if (m.to == "" && s.DC != c.DC) || (m.to != "" && s.Owner == m.to && s.DC == c.DC && (!m.bump || s.Token > m.from)) {
 			delete(v.moves, i)
 			delete(v.orphans, i)
@@ -440,15 +469,18 @@
 // allot sets what each server may serve.
 func (c *Pass) allot(v *view) {
 	sets := make(map[string][]grants.Range)
+	var s *fleet.Server
 	for _, i := range v.mine {
-		cur := v.slots[i]
+		cur := v.at(i)
 		if cur.DC != c.DC || cur.Owner == "" || v.stopped {
 			continue
 		}
 		if m := v.moves[i]; m != nil && m.stage != draining {
 			continue
 		}
-		s := c.Fleet.Server(cur.Owner)
+		if s == nil || s.Name != cur.Owner {
+			s = c.Fleet.Server(cur.Owner)
+		}
 		if s == nil || s.Pool != v.name || (s.Checks && !s.Clean()) {
 			continue
 		}
@@ -516,7 +548,7 @@
 	}
 	v.append = c.Log.Append(c.Now, &record.Record{Kind: &record.Record_Assign{Assign: &record.Assign{
 		Dc: c.DC, Pool: v.name, Term: c.Cell.Term, Base: c.Place.Version(v.name, c.DC), Changes: changes,
-		Slots: uint32(len(v.slots)), Yield: yield.Milliseconds(),
+		Slots: uint32(v.count), Yield: yield.Milliseconds(),
 	}}})
 }
 
@@ -540,7 +572,7 @@
 // override moves slots without the log.
 func (c *Pass) override(v *view) {
 	for _, i := range slices.Sorted(maps.Keys(v.moves)) {
-		m, s := v.moves[i], v.slots[i]
+		m, s := v.moves[i], v.at(i)
 		if m.stage != giving || m.to == "" || s.DC != c.DC {
 			continue
 		}
@@ -549,7 +581,6 @@
 			continue
 		}
 		v.over[i] = fold.Slot{DC: c.DC, Owner: m.to, Token: token}
-		v.slots[i] = v.over[i]
 		delete(v.moves, i)
 		delete(v.orphans, i)
 		c.note(v, "unlogged", s.Owner, m.to, i)
