--- a/internal/place/ctrl/cell_test.go
+++ b/internal/place/ctrl/cell_test.go
@@ -60,6 +60,7 @@
 type server struct {
 	dc    string
 	dead  bool
+	leave bool
 	pair  lease.Pair
 	held  []grants.Range
 	until uint64
@@ -245,7 +246,7 @@
 			}
 		}
 	}
-	rep := grants.Reply{Incarnation: s.inc, Clock: s.clock(now), Term: s.pair.Term, Epoch: s.pair.Epoch, Accepted: ok}
+	rep := grants.Reply{Incarnation: s.inc, Clock: s.clock(now), Term: s.pair.Term, Epoch: s.pair.Epoch, Accepted: ok, Leaving: s.leave}
 	if s.clock(now) < s.until {
 		rep.Held = s.held
 	}
--- a/internal/place/ctrl/ctrl_test.go
+++ b/internal/place/ctrl/ctrl_test.go
@@ -246,3 +246,11 @@
 	}
 	t.Logf("seeds 0 to 15, %d grants arrived", grants)
 }
+
+// Guards a server that leaves: within a few seconds it holds nothing, and it lets go of a slot only for another owner.
+func TestLeavingServer(t *testing.T) {
+	w := newWorld(t, []string{"e"}, 3, 4, 0)
+	w.until(5*time.Second, always)
+	w.servers["e-s1"].leave = true
+	w.until(5*time.Second, func() bool { return len(w.servers["e-s1"].held) == 0 })
+}
--- a/internal/place/drive/drive_test.go
+++ b/internal/place/drive/drive_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/place/ctrl"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
 )
 
@@ -214,3 +215,27 @@
 	r.stop(old)
 	r.eventually("all slots dispatched again", func() bool { n := r.controller(); return n != nil && n != old && r.served() })
 }
+
+// Guards planned moves: the dispatcher lets go of the slot, the old owner is revoked, then the new one gets it, and all
+// other slots are served meanwhile.
+func TestPlannedMove(t *testing.T) {
+	r := steady(t, 3)
+	r.mu.Lock()
+	r.balance = func(slots []homes.Slot) []homes.Move {
+		if slots[7].Owner == "s3" {
+			return nil
+		}
+		return []homes.Move{{Slot: 7, To: "s3"}}
+	}
+	r.mu.Unlock()
+	least := slots
+	took := r.eventually("slot 7 served by s3", func() bool {
+		served := r.check()
+		least = min(least, served)
+		return served == slots && r.holders()[7] == "s3"
+	})
+	if least < slots-1 {
+		t.Errorf("a planned move of one slot left %d slots unserved", slots-least)
+	}
+	t.Logf("done after %v", took)
+}
--- a/internal/place/drive/rig_test.go
+++ b/internal/place/drive/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/ctrl"
 	"github.com/bramleycove/bramleycove/internal/place/drive"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
@@ -141,6 +142,7 @@
 	tables  *tables.Tables
 	wait    conc.WaitGroup
 	checks  bool
+	balance func(slots []homes.Slot) []homes.Move // nil: no planned moves
 	made    int
 }
 
@@ -182,6 +184,16 @@
 	return r
 }
 
+// plan is the balancer of all instances.
+func (r *rig) plan(_ string, _ time.Time, _ []homes.Server, slots []homes.Slot) []homes.Move {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.balance == nil {
+		return nil
+	}
+	return r.balance(slots)
+}
+
 func (r *rig) addr() netip.AddrPort {
 	r.made++
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(1000+r.made))
@@ -228,7 +240,7 @@
 	id := fmt.Sprintf("%s/%d", i.Name, r.made)
 	r.made++
 	n.driver = drive.New(drive.Config{
-		Config: ctrl.Config{ID: id, DC: "east", Peer: i.Peer, Start: time.Now()},
+		Config: ctrl.Config{ID: id, DC: "east", Peer: i.Peer, Start: time.Now(), Balance: r.plan},
 		View: func(f func(*fold.Place)) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
