Keep planned moves from leaving slots unserved in a log outage

Slots on their way to another data centre are served again while the log does not answer, a move whose owner is lost skips the drain, and slots seized twice wait anew each time. With servers that do not check tokens the wait after a seizure is longer by the longest route timeout.

--- a/internal/place/drive/rig_test.go
+++ b/internal/place/drive/rig_test.go
@@ -150,6 +150,7 @@
 
 // newRig starts a data centre of instances and keyed servers, which check tokens if checks is set.
 func newRig(t *testing.T, instances, servers int, checks bool) *rig {
+	t.Parallel() // the tests mostly wait
 	r := &rig{
 		t: t, nodes: make(map[netip.AddrPort]*node), servers: make(map[netip.AddrPort]*backend),
 		names: make(map[netip.AddrPort]string), checks: checks,
--- a/internal/place/slots/seize.go
+++ b/internal/place/slots/seize.go
@@ -12,11 +12,15 @@
 )
 
 // seizeWait is how long slots taken from another data centre stay unserved. The data centre they came from is not
-// known to a later controller, so the longest declared time counts.
-func (c *Pass) seizeWait(pool string) time.Duration {
+// known to a later controller, so the longest declared time counts. Servers that don't check tokens may still run what
+// was sent to them before.
+func (c *Pass) seizeWait(v *view) time.Duration {
 	var yield time.Duration
 	for _, dc := range c.Place.DCs() {
-		yield = max(yield, c.Place.Yield(pool, dc))
+		yield = max(yield, c.Place.Yield(v.name, dc))
+	}
+	if slices.ContainsFunc(v.cfg.Servers, func(s tables.Server) bool { return !s.Checks }) {
+		yield += v.linger
 	}
 	return lease.Stretch(yield + lease.D + lease.L)
 }
--- a/internal/place/slots/slots.go
+++ b/internal/place/slots/slots.go
@@ -3,6 +3,7 @@
 package slots
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -56,7 +57,7 @@
 	homes    []string      // by slot
 	over     map[uint32]fold.Slot
 	moves    map[uint32]*move
-	orphans  map[uint32]time.Time // slots seized without an owner yet, and when first seen
+	orphans  map[uint32]orphan
 	load     map[uint32]rate
 	append   *Pending
 	retry    time.Time
@@ -66,6 +67,12 @@
 	stopped  bool      // cut off from the log for longer than yield
 }
 
+// orphan is a slot that was seized and has no owner yet. The token tells one seizure from another.
+type orphan struct {
+	token uint64
+	seen  time.Time // when first seen by this controller
+}
+
 // rate is the load of a slot as a dispatcher reported it. Only the hottest slots are reported, so that silence means
 // little load.
 type rate struct {
@@ -86,7 +93,7 @@
 func New() *Pool {
 	return &Pool{
 		over: make(map[uint32]fold.Slot), moves: make(map[uint32]*move),
-		orphans: make(map[uint32]time.Time), load: make(map[uint32]rate),
+		orphans: make(map[uint32]orphan), load: make(map[uint32]rate),
 	}
 }
 
@@ -264,6 +271,9 @@
 	}
 	v.balanced = c.Now
 	for _, mv := range c.Balance(v.name, c.Now, v.servers, c.shares(v)) {
+		if int(mv.Slot) >= len(v.mine) {
+			continue
+		}
 		i := v.mine[mv.Slot]
 		if s, ok := v.server(mv.To); ok && s.Up && !s.Leaving && v.moves[i] == nil && v.at(i).Owner != mv.To {
 			v.moves[i] = &move{to: mv.To, why: "balance", since: c.Now, from: v.at(i).Token}
@@ -281,13 +291,13 @@
 	return list
 }
 
+// noServer stands for the owner of a slot that has none and is to get none.
+const noServer = "-"
+
 // keeper returns the server that owns a slot or is about to, "" if it has to be given to another.
 func (c *Pass) keeper(v *view, i uint32) string {
 	if m := v.moves[i]; m != nil {
-		if m.to == "" {
-			return "-"
-		}
-		return m.to
+		return cmp.Or(m.to, v.at(i).Owner, noServer)
 	}
 	if s, ok := v.server(v.at(i).Owner); ok && s.Up && !s.Leaving {
 		return s.Name
@@ -304,12 +314,12 @@
 	if s.Owner != "" {
 		return true
 	}
-	first, ok := v.orphans[i]
-	if !ok {
-		v.orphans[i] = c.Now
+	o, ok := v.orphans[i]
+	if !ok || o.token != s.Token {
+		v.orphans[i] = orphan{token: s.Token, seen: c.Now}
 		return false
 	}
-	return c.Now.Sub(first) >= c.seizeWait(v.name)
+	return c.Now.Sub(o.seen) >= c.seizeWait(v)
 }
 
 // start begins to move a slot whose owner is missing, lost or leaving.
@@ -384,9 +394,11 @@
 	}
 }
 
-// leaveHome starts to drain slots whose home is another data centre c.Now. That needs the log.
+// leaveHome starts to drain slots whose home is another data centre now. That needs the log: without it
+// they would be neither here nor there, so that those already drained are served here again.
 func (c *Pass) leaveHome(v *view) {
 	if c.Log.Down {
+		maps.DeleteFunc(v.moves, func(_ uint32, m *move) bool { return m.to == "" })
 		return
 	}
 	for _, i := range v.mine {
@@ -435,7 +447,7 @@
 			continue
 		}
 		owner := c.Fleet.Server(s.Owner)
-		if m.stage == draining && (owner == nil || c.Lanes.Clear(c.Now, lane(v.name, s.Owner), i) ||
+		if m.stage == draining && (owner == nil || !owner.Up || c.Lanes.Clear(c.Now, lane(v.name, s.Owner), i) ||
 			(owner.Checks && c.Now.Sub(m.since) >= drainMax)) {
 			m.stage = revoking
 		}
