--- a/internal/place/ctrl/cell_test.go
+++ b/internal/place/ctrl/cell_test.go
@@ -60,6 +60,7 @@
 type server struct {
 	dc    string
 	dead  bool
+	leave bool
 	pair  lease.Pair
 	held  []grants.Range
 	until uint64
@@ -155,6 +156,7 @@
 
 func (w *world) perform(i *inst, a ctrl.Action) {
 	switch {
+	case a.Event != nil && w.t == nil:
 	case a.Event != nil:
 		w.t.Log(w.now.Sub(time.Unix(1000, 0)), i.name, a.Event.Name, a.Event.Fields)
 	case a.Append != nil:
@@ -244,7 +246,7 @@
 			}
 		}
 	}
-	rep := grants.Reply{Incarnation: s.inc, Clock: s.clock(now), Term: s.pair.Term, Epoch: s.pair.Epoch, Accepted: ok}
+	rep := grants.Reply{Incarnation: s.inc, Clock: s.clock(now), Term: s.pair.Term, Epoch: s.pair.Epoch, Accepted: ok, Leaving: s.leave}
 	if s.clock(now) < s.until {
 		rep.Held = s.held
 	}
--- a/internal/place/ctrl/ctrl_test.go
+++ b/internal/place/ctrl/ctrl_test.go
@@ -29,6 +29,10 @@
 			s := w.servers["e-s1"]
 			s.inc, s.held, s.until, s.pair.Term = 99, nil, 0, 0
 		}, nil},
+		{"server has seen higher tokens", 3 * time.Second, func(w *world) {
+			s := w.servers["e-s1"]
+			s.seen[s.held[0].First], s.held, s.until = s.held[0].Token+1, nil, 0
+		}, nil},
 		{"controller killed", 4 * time.Second, func(w *world) { w.controller("e").dead = true }, nil},
 		{"controller and server killed", 5 * time.Second, func(w *world) {
 			w.controller("e").dead = true
@@ -242,3 +246,11 @@
 	}
 	t.Logf("seeds 0 to 15, %d grants arrived", grants)
 }
+
+// Guards a server that leaves: within a few seconds it holds nothing, and it lets go of a slot only for another owner.
+func TestLeavingServer(t *testing.T) {
+	w := newWorld(t, []string{"e"}, 3, 4, 0)
+	w.until(5*time.Second, always)
+	w.servers["e-s1"].leave = true
+	w.until(5*time.Second, func() bool { return len(w.servers["e-s1"].held) == 0 })
+}
