--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -79,6 +79,9 @@
 
 	mu    sync.Mutex
 	snaps relay.Snapshots
+
+	looked time.Time // when retention was last looked at; used by writeSnapshots alone
+	first  uint64    // the oldest offset that the log retained then
 }
 
 // New returns folds that are empty until Run.
@@ -207,7 +210,7 @@
 	}
 	if snap := rec.GetSnapshot(); snap != nil {
 		s.mu.Lock()
-		s.snaps.Seen(time.Now(), snap.GetAsof())
+		s.snaps.Stored(time.Now(), snap.GetAsof())
 		s.mu.Unlock()
 	}
 	if s.stream == ConfigStream {
@@ -294,9 +297,10 @@
 	if f.tailOf(s.stream) == nil || !f.Writes() {
 		return
 	}
+	f.lookup(ctx, now, s)
 	snap, rank := f.state(s.stream)
 	s.mu.Lock()
-	due := s.snaps.Due(now, snap.GetAsof(), rank)
+	due := s.snaps.Due(now, snap.GetAsof(), s.first, rank)
 	s.mu.Unlock()
 	if !due {
 		return
@@ -308,6 +312,22 @@
 	f.Event("snapshot-written", "stream", s.stream, "asof", snap.GetAsof(), "error", err)
 }
 
+// lookupEvery is how often a writer of snapshots asks the log what it retains.
+const lookupEvery = 10 * time.Second
+
+// lookup asks the log itself for the oldest record it retains: a relay may retain less or more.
+func (f *Folds) lookup(ctx context.Context, now time.Time, s *follower) {
+	if !s.looked.IsZero() && now.Sub(s.looked) < lookupEvery {
+		return
+	}
+	s.looked = now
+	ctx, cancel := context.WithTimeout(ctx, writeEvery)
+	defer cancel()
+	if b, err := f.Read(ctx, s.stream, f.offset(s.stream)+1, 0, 1); err == nil {
+		s.first = b.First
+	}
+}
+
 // state returns the state of a stream, and the index of the own data centre among those that have a term.
 func (f *Folds) state(stream string) (snap *record.Snapshot, rank int) {
 	f.mu.RLock()
--- a/internal/peer/relay/snap.go
+++ b/internal/peer/relay/snap.go
@@ -14,13 +14,20 @@
 // Snapshots decides when a controller writes a snapshot of a stream. The zero value is ready for use. It is not safe
 // for concurrent use.
 type Snapshots struct {
-	asof  uint64    // of the latest snapshot seen
+	asof  uint64    // of the latest snapshot seen or state adopted
+	kept  uint64    // asof of the latest snapshot read from the stream
 	since time.Time // when it was seen, or when the first decision was made
 	tried time.Time
 }
 
-// Seen notes a snapshot that was read from the stream, whoever wrote it. At its start an instance calls it with the
-// offset of the state that it adopted, so that it does not write a snapshot at once.
+// Stored notes a snapshot that was read from the stream, whoever wrote it.
+func (s *Snapshots) Stored(now time.Time, asof uint64) {
+	s.kept = max(s.kept, asof)
+	s.Seen(now, asof)
+}
+
+// Seen notes the offset of the state that an instance adopted at its start, so that it does not write a snapshot at
+// once.
 func (s *Snapshots) Seen(now time.Time, asof uint64) {
 	if asof > s.asof {
 		s.asof, s.since = asof, now
@@ -29,8 +36,10 @@
 
 // Due reports whether to write a snapshot now. offset is that of the fold, and rank the index of the own data centre among
 // those that have a term, by name. A caller that is told so counts as having tried. An idle stream gets snapshots too,
-// since retention by age would otherwise trim the last one.
-func (s *Snapshots) Due(now time.Time, offset uint64, rank int) bool {
+// since retention by age would otherwise trim the last one. first is the oldest offset that the log retains, 0 if not
+// known: when no snapshot that was read covers what is trimmed, for example after a long outage, one is due at once,
+// since until then nobody without a state can read the stream.
+func (s *Snapshots) Due(now time.Time, offset, first uint64, rank int) bool {
 	if s.since.IsZero() {
 		s.since = now
 	}
@@ -39,7 +48,8 @@
 	}
 	age := snapshotEvery + time.Duration(rank)*snapshotEvery/snapshotStep
 	records := uint64(snapshotRecords + rank*snapshotRecords/snapshotStep)
-	if now.Sub(s.since) < age && offset < s.asof+records {
+	lost := first > s.kept+1 && offset+1 >= first
+	if now.Sub(s.since) < age && offset < s.asof+records && !lost {
 		return false
 	}
 	s.tried = now
--- a/internal/peer/relay/start_test.go
+++ b/internal/peer/relay/start_test.go
@@ -140,25 +140,29 @@
 	for _, c := range []struct {
 		at     time.Time
 		offset uint64
+		first  uint64
 		rank   int
 		want   bool
 	}{
-		{now, 1099, 0, false},
-		{now, 1100, 0, true},
-		{now, 1100, 1, false},
-		{now, 1350, 1, true},
-		{minutes(9), 100, 0, false},
-		{minutes(10), 100, 0, true},
-		{minutes(10), 100, 1, false},
-		{minutes(13), 100, 1, true},
-		{minutes(60), 100, -1, false},
+		{now, 1099, 0, 0, false},
+		{now, 1100, 0, 0, true},
+		{now, 1100, 0, 1, false},
+		{now, 1350, 0, 1, true},
+		{minutes(9), 100, 0, 0, false},
+		{minutes(10), 100, 0, 0, true},
+		{minutes(10), 100, 0, 1, false},
+		{minutes(13), 100, 0, 1, true},
+		{minutes(60), 100, 0, -1, false},
+		{now, 200, 101, 0, false},
+		{now, 200, 102, 0, true}, // the latest snapshot does not cover what was trimmed
+		{now, 100, 102, 0, false},
 	} {
 		var s relay.Snapshots
-		s.Seen(now, 100)
-		if got := s.Due(c.at, c.offset, c.rank); got != c.want {
+		s.Stored(now, 100)
+		if got := s.Due(c.at, c.offset, c.first, c.rank); got != c.want {
 			t.Errorf("at %v, offset %d, rank %d: due %v, want %v", c.at, c.offset, c.rank, got, c.want)
 		}
-		if s.Due(c.at, c.offset, c.rank) {
+		if s.Due(c.at, c.offset, c.first, c.rank) {
 			t.Errorf("at %v: due again at once", c.at)
 		}
 	}
