Read streams through another instance when the relay is cut off from the log

Cause: the relay of a data centre and region has only the log as source. Ruled out: slow fallback of the other instances (they had the version at once) and the trim (before it, publish waited 10 s and named i3 as behind). Change: sources after the log, two near instances that are not relays of this one. Before: TestRacingPublishers in test/config failed (exit code 4, i3 not confirmed within 10 s). After: it passes.

--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -164,7 +164,7 @@
 	log := d.log.For("plat")
 	return folds.Seams{
 		Read: d.logs.Read, Append: d.logs.Append,
-		Peers: d.statePeers, Relays: d.relays,
+		Peers: d.statePeers, Relays: d.relays, Fallbacks: d.fallbacks,
 		Yields: d.yields,
 		Writes: func() bool { return d.drive.Controller() },
 		DC:     d.cfg.DC, Seed: seed(d.id),
--- a/internal/oper/daemon/peers.go
+++ b/internal/oper/daemon/peers.go
@@ -145,6 +145,23 @@
 	return out
 }
 
+// maxFallbacks bounds the instances that are asked for records when neither a relay nor the log answers.
+const maxFallbacks = 2
+
+// fallbacks returns near instances that are no relay of this one. A relay that alone is cut off from the log has nobody
+// else to read from; those that usually read from it have turned to the log by then.
+func (d *daemon) fallbacks() []folds.Peer {
+	relays, list := d.relays(), d.others()
+	slices.SortStableFunc(list, func(a, b roster.Instance) int { return d.distance(a) - d.distance(b) })
+	var out []folds.Peer
+	for _, i := range list {
+		if len(out) < maxFallbacks && !slices.ContainsFunc(relays, func(p folds.Peer) bool { return p.Name == i.Name }) {
+			out = append(out, d.folder(i.Name, i.Peer))
+		}
+	}
+	return out
+}
+
 // relayOf reports whether this instance is the relay of its data centre (0) or region (1).
 func (d *daemon) relayOf(within int) bool {
 	name, _ := d.first(within)
--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -37,6 +37,8 @@
 	Peers func() []Peer
 	// Relays returns the instances to read streams from, in order of preference.
 	Relays func() []Peer
+	// Fallbacks returns the instances to read from while neither a relay nor the log itself answers.
+	Fallbacks func() []Peer
 	// Yields reports whether contact with the log itself is needed, see relay.Seams.
 	Yields func() bool
 	// Writes reports whether this instance writes snapshots, and the index of its data centre among those with a term.
--- a/internal/peer/folds/peers.go
+++ b/internal/peer/folds/peers.go
@@ -66,26 +66,34 @@
 	return reply, nil
 }
 
-// sources lists the relays and then the log itself.
+// sources lists the relays, the log itself, and then the instances that may help when this one is cut off from both.
 func (f *Folds) sources(stream string) []relay.Source {
 	var out []relay.Source
 	for _, p := range f.Relays() {
-		out = append(out, relay.Source{
-			Name: p.Name,
-			Read: func(ctx context.Context, from uint64, wait time.Duration, limit int) (logsvc.Batch, error) {
-				reply, err := p.Read(ctx, &peerpb.ReadRequest{
-					Stream: stream, From: from, Wait: wait.Milliseconds(), Max: uint32(limit),
-				})
-				return batch(reply), err
-			},
-		})
+		out = append(out, source(stream, p))
 	}
-	return append(out, relay.Source{
+	out = append(out, relay.Source{
 		Name: "log", Log: true,
 		Read: func(ctx context.Context, from uint64, wait time.Duration, limit int) (logsvc.Batch, error) {
 			return f.Read(ctx, stream, from, wait, limit)
 		},
 	})
+	for _, p := range f.Fallbacks() {
+		out = append(out, source(stream, p))
+	}
+	return out
+}
+
+func source(stream string, p Peer) relay.Source {
+	return relay.Source{
+		Name: p.Name,
+		Read: func(ctx context.Context, from uint64, wait time.Duration, limit int) (logsvc.Batch, error) {
+			reply, err := p.Read(ctx, &peerpb.ReadRequest{
+				Stream: stream, From: from, Wait: wait.Milliseconds(), Max: uint32(limit),
+			})
+			return batch(reply), err
+		},
+	}
 }
 
 func batch(reply *peerpb.ReadReply) logsvc.Batch {
--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -42,7 +42,7 @@
 
 // Seams are what a Tail needs of its owner. Functions are called from the goroutines of Run.
 type Seams struct {
-	// Sources returns the sources in order of preference, the log last.
+	// Sources returns the sources in order of preference.
 	Sources func() []Source
 	// Deliver receives every record once, in order.
 	Deliver func(offset uint64, data []byte)
