Test losses in pairs, yielding and lost data centres, trims, racing publishers

Tests that take down the controller first wait until its term names all witnesses (fleet.Settled): with a term of the first moments, which names no successor, a controller lost in a log outage is not replaced before the log returns.

--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -116,6 +116,28 @@
 // askers is the number of callers that look at once whether keys are served.
 const askers = 8
 
+// Settled waits until the term of each data centre names all its instances and checking servers as witnesses. A
+// controller that was elected while others still started renews its term some seconds later; until then the term has
+// few witnesses and perhaps no successor, and does not survive the losses that a test is about.
+func Settled(r *rig.Rig) {
+	for _, region := range r.Plan.Regions {
+		for _, dc := range region.DCs {
+			want := 0
+			for _, in := range r.Plan.Instances {
+				if in.DC == dc {
+					want++
+				}
+			}
+			for _, s := range r.Plan.Servers {
+				if s.DC == dc && s.Checks {
+					want++
+				}
+			}
+			r.Await("all are witnesses in "+dc, Patience, func() bool { return r.Witnesses(r.Controller(dc)) == want })
+		}
+	}
+}
+
 // Served waits until a lookup of a key of each slot has succeeded through an instance.
 func Served(r *rig.Rig, instance string) { ServedKeys(r, instance, Keys()) }
 
--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -114,6 +116,7 @@
 	Slot       uint32 `json:"slot"`
 	Home       string `json:"home"`
 	Owner      string `json:"owner"`
+	Token      uint64 `json:"token"`
 	Dispatcher string `json:"dispatcher"`
 }
 
@@ -139,6 +142,24 @@
 	return name
 }
 
+// fenceEvent is the log line of a controller that has claimed a term or an epoch.
+var fenceEvent = regexp.MustCompile(`event=fence .*witnesses=(\d+)`)
+
+// Witnesses returns the number of witnesses of the last term that an instance claimed, 0 if none.
+func (r *Rig) Witnesses(name string) int {
+	if name == "" {
+		return 0
+	}
+	data, err := os.ReadFile(r.procs[name].Log)
+	r.check(err)
+	all := fenceEvent.FindAllSubmatch(data, -1)
+	if len(all) == 0 {
+		return 0
+	}
+	n, _ := strconv.Atoi(string(all[len(all)-1][1]))
+	return n
+}
+
 // Pools returns the pool table of the plan with the given data centres declared lost.
 func (r *Rig) Pools(lost ...string) string {
 	r.tb.Helper()
@@ -147,8 +168,9 @@
 	return string(text)
 }
 
-// TryPublish publishes both tables with the operators' command and returns its exit code and output.
-func (r *Rig) TryPublish(routes, pools string) (int, string) {
+// TryPublish publishes both tables with the operators' command and returns its exit code and output. More are further
+// arguments.
+func (r *Rig) TryPublish(routes, pools string, more ...string) (int, string) {
 	r.tb.Helper()
 	args := []string{"publish", "--settings", filepath.Join(r.dir, operator+".settings")}
 	for _, f := range []struct{ name, text string }{{"routes", routes}, {"pools", pools}} {
@@ -156,7 +178,7 @@
 		r.check(os.WriteFile(path, []byte(f.text), 0o600))
 		args = append(args, "--"+f.name, path)
 	}
-	cmd := exec.Command(r.bin.Daemon, args...)
+	cmd := exec.Command(r.bin.Daemon, append(args, more...)...)
 	out, err := cmd.CombinedOutput()
 	if cmd.ProcessState == nil {
 		r.tb.Fatal(err)
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -52,6 +52,7 @@
 	p := fleet.Plan(2, fleet.Size{Instances: 3, Stock: 2, Cut: 2, Args: []string{"--crash-body", "poison"}})
 	p.Pairs = true
 	w := &world{T: t, Rig: fleet.Up(t, p), Rand: rand.New(rand.NewPCG(seed, 0)), versions: map[string]uint64{}}
+	fleet.Settled(w.Rig)
 	var all []string
 	for _, in := range p.Instances {
 		all = append(all, in.Name)
--- a/test/config/config_test.go
+++ b/test/config/config_test.go
@@ -1,9 +1,13 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
@@ -67,3 +71,46 @@
 	fleet.Served(r, "i3")
 	r.Judge()
 }
+
+// unconfirmed is the exit code of publish for an accepted version that an instance has not confirmed.
+const unconfirmed = 4
+
+// inForce is how soon an accepted configuration is in force everywhere (invariant 8).
+const inForce = 7 * time.Second
+
+// Guards against more than one winner among racing publishers, and against instances that come to differ, take longer
+// than promised, or go back when one of them was cut off from the log and the records that it missed are gone.
+func TestRacingPublishers(t *testing.T) {
+	t.Parallel()
+	r := up(t)
+	base := version(t, r, "i1")
+	r.Link("i3", rig.Log).Cut()
+	codes, wg := make([]int, 4), conc.WaitGroup{}
+	for n := range codes {
+		wg.Go(func() {
+			routes := strings.Replace(fleet.Routes, `"worth": 10`, fmt.Sprintf(`"worth": %d`, 20+n), 1)
+			codes[n], _ = r.TryPublish(routes, r.Pools(), "--base", fmt.Sprint(base))
+		})
+	}
+	wg.Wait()
+	won := 0
+	for _, code := range codes {
+		if code == 0 || code == unconfirmed {
+			won++
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d publishers won: exit codes %v", won, codes)
+	}
+	// The instance that is cut off learns of it from others.
+	want := version(t, r, "i1")
+	r.Await("the version of the winner on i3", inForce, func() bool { return version(t, r, "i3") == want })
+	r.LogService(logsrv.Command{Trim: &logsrv.Trim{Stream: "config", Below: r.LogCounts().Streams["config"][1]}})
+	r.Link("i3", rig.Log).Heal()
+	for _, in := range r.Plan.Instances {
+		r.Await("the version of the winner on "+in.Name, inForce, func() bool { return version(t, r, in.Name) == want })
+	}
+	if want <= base {
+		t.Errorf("version %d after %d", want, base)
+	}
+}
--- a/test/crash/crash_test.go
+++ b/test/crash/crash_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
+	"github.com/bramleycove/bramleycove/internal/stand/gate"
+	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
 )
 
@@ -32,3 +34,39 @@
 	r.Await("other work runs", fleet.Patience, func() bool { return fleet.Ran(r.Call("i1", fleet.Note("harmless"))) })
 	r.Judge()
 }
+
+// Guards against strikes that are forgotten, so that more servers are lost, when the controller that spreads them is
+// killed and the log is down.
+func TestPoisonControllerLost(t *testing.T) {
+	t.Parallel()
+	servers := []string{"c1", "c2", "c3", "c4"}
+	r := fleet.Up(t, fleet.Plan(1, fleet.Size{
+		Instances: 4, Stock: 2, Cut: len(servers), Args: []string{"--crash-body", "poison"},
+	}))
+	fleet.Settled(r)
+	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Down}})
+	old := r.Controller("dk-east-1")
+	var rest []string
+	for _, in := range r.Plan.Instances {
+		if in.Name != old {
+			rest = append(rest, in.Name)
+		}
+	}
+	for n := range 12 {
+		r.Call(rest[n%len(rest)], fleet.Note("poison"))
+		if n == 1 {
+			r.Kill(old)
+		}
+	}
+	lost := 0
+	for _, c := range servers {
+		if !r.Running(c) {
+			lost++
+		}
+	}
+	if lost == 0 || lost > 2 {
+		t.Errorf("%d servers lost, want 1 or 2", lost)
+	}
+	r.Await("other work runs", fleet.Patience, func() bool { return fleet.Ran(r.Call(rest[0], fleet.Note("harmless"))) })
+	r.Judge()
+}
--- a/test/owner/owner_test.go
+++ b/test/owner/owner_test.go
@@ -1,13 +1,16 @@
 package owner_test
 
 import (
+	"fmt"
 	"os"
 	"testing"
 
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
+	"github.com/bramleycove/bramleycove/internal/stand/listsv"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
+	"github.com/bramleycove/bramleycove/internal/stand/proxy"
 	"github.com/bramleycove/bramleycove/internal/stand/rig"
 )
 
@@ -41,6 +44,9 @@
 		{"killed", func(r *rig.Rig) { r.Kill("s1") }, func(r *rig.Rig) { r.Start("s1") }},
 		{"frozen", func(r *rig.Rig) { r.Freeze("s1") }, func(r *rig.Rig) { r.Thaw("s1") }},
 		{"cut off", func(r *rig.Rig) { r.Front("s1").Cut() }, func(r *rig.Rig) { r.Front("s1").Heal() }},
+		{"does not hear", func(r *rig.Rig) { r.Front("s1").Cut(proxy.Out) }, func(r *rig.Rig) { r.Front("s1").Heal() }},
+		{"is not heard", func(r *rig.Rig) { r.Front("s1").Cut(proxy.Back) }, func(r *rig.Rig) { r.Front("s1").Heal() }},
+		{"address reused at once", func(r *rig.Rig) { r.Kill("s1"); r.Start("s1") }, func(*rig.Rig) {}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -64,6 +70,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 4, Stock: 3}))
+			fleet.Settled(r)
 			l := lookups(r, "i1", "i2", "i3", "i4")
 			r.LogService(logsrv.Command{Order: gate.Order{Mode: tc.log}})
 			old := r.Controller(dc)
@@ -121,3 +128,99 @@
 	}
 	settle(t, r, l, "i4")
 }
+
+// Guards against keys without an owner, and against two owners, after the controller and a server are lost at the same
+// moment in an outage of the log.
+func TestOutageControllerServerLost(t *testing.T) {
+	t.Parallel()
+	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 4, Stock: 3}))
+	fleet.Settled(r)
+	l := lookups(r, "i1", "i2", "i3", "i4")
+	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Down}})
+	old := r.Controller(dc)
+	r.Freeze(old, "s1")
+	through := "i1"
+	if old == through {
+		through = "i2"
+	}
+	fleet.Served(r, through)
+	r.Thaw("s1", old)
+	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Up}})
+	settle(t, r, l, old)
+}
+
+// owners returns the owner and the token of a key of each slot, as an instance explains it.
+func owners(t *testing.T, r *rig.Rig, instance string) map[uint32]rig.Explanation {
+	t.Helper()
+	out := map[uint32]rig.Explanation{}
+	for _, key := range fleet.Keys() {
+		e, err := r.Explain(instance, fleet.Lookup(key).Path, fmt.Sprint("k", key))
+		if err != nil || e.Owner == "" {
+			t.Fatalf("key %d: %+v, %v", key, e, err)
+		}
+		out[e.Slot] = e
+	}
+	return out
+}
+
+// Guards against assignments that are lost when retention passes and then all instances are lost at once.
+func TestAssignmentsSurvive(t *testing.T) {
+	t.Parallel()
+	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 3, Stock: 3}))
+	before := owners(t, r, "i1")
+	trim := func(stream string) uint64 {
+		next := r.LogCounts().Streams[stream][1]
+		r.LogService(logsrv.Command{Trim: &logsrv.Trim{Stream: stream, Below: next}})
+		return next
+	}
+	marks := map[string]uint64{"config": trim("config"), "place": trim("place")}
+	r.Await("snapshots cover what was trimmed", fleet.Patience, func() bool {
+		s := r.LogCounts().Streams
+		return s["config"][1] > marks["config"] && s["place"][1] > marks["place"]
+	})
+	r.Kill("i1", "i2", "i3")
+	r.Start("i1", "i2", "i3")
+	fleet.Served(r, "i1")
+	for slot, now := range owners(t, r, "i1") {
+		if was := before[slot]; now.Owner != was.Owner || now.Token < was.Token {
+			t.Errorf("slot %d was %+v and is %+v", slot, was, now)
+		}
+	}
+	r.Judge()
+}
+
+// Guards against a data centre that goes on with slots that another one has seized, and against slots that nobody
+// serves because their data centre yields and is cut off.
+func TestYield(t *testing.T) {
+	t.Parallel()
+	p := fleet.Plan(2, fleet.Size{Instances: 3, Stock: 2})
+	p.Pairs = true
+	p.Pools[0].Cutoff = map[string]string{"yield": "3s"}
+	r := fleet.Up(t, p)
+	l := lookups(r, "i1", "i2", "i3", "i4", "i5", "i6")
+	links := r.Between([]string{"i1", "i2", "i3"}, []string{"i4", "i5", "i6"})
+	for _, in := range []string{"i4", "i5", "i6"} {
+		links = append(links, r.Link(in, rig.Log), r.Link(in, rig.List))
+	}
+	for _, link := range links {
+		link.Cut()
+	}
+	fleet.Served(r, "i1")
+	for _, link := range links {
+		link.Heal()
+	}
+	settle(t, r, l, "i4")
+}
+
+// Guards against slots of a destroyed data centre that stay unserved after its operators have declared it lost.
+func TestLost(t *testing.T) {
+	t.Parallel()
+	r := fleet.Up(t, fleet.Plan(2, fleet.Size{Instances: 3, Stock: 2}))
+	r.Kill("i4", "i5", "i6", "s3", "s4")
+	r.ListService(listsv.Command{Remove: []string{"i4", "i5", "i6", "s3", "s4"}})
+	if code, out := r.TryPublish(fleet.Routes, r.Pools("dk-east-2")); code != 0 {
+		t.Fatalf("publish: exit code %d\n%s", code, out)
+	}
+	fleet.Served(r, "i1")
+	r.Judge()
+}
