--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -50,9 +50,16 @@
 // normal replaces what differs from run to run: times, ports, ids, offsets and paths.
 func normal(text string) string {
 	for _, r := range []struct{ what, by string }{
-		{`\d{4}-\d\d-\d\dT[0-9:.]+Z`, "TIME"}, {`127\.0\.0\.1:\d+`, "ADDRESS"}, {`/\S*/(\w+)-\d+\.table`, "$1.table"},
-		{`i1/[0-9a-f]{8}(-\w+)?`, "ID"}, {`m\d{6}`, "MARK"}, {`took=\S+`, "took=TIME"}, {`(token +)\d+`, "${1}TOKEN"},
-		{`(?m)^(ID +\S+ +\d+ +)\d+/\d+`, "${1}TERM/EPOCH"}, {`"request":"[^"]*"`, `"request":"ID"`}, {` {2,}`, "  "},
+		{`\d{4}-\d\d-\d\dT[0-9:.]+Z`, "TIME"},
+		{`127\.0\.0\.1:\d+`, "ADDRESS"},
+		{`/\S*/(\w+)-\d+\.table`, "$1.table"},
+		{`i1/[0-9a-f]{8}(-\w+)?`, "ID"},
+		{`m\d{6}`, "MARK"},
+		{`took=\S+`, "took=TIME"},
+		{`(token +)\d+`, "${1}TOKEN"},
+		{`(?m)^(ID +\S+ +\d+ +)\d+/\d+`, "${1}TERM/EPOCH"},
+		{`"request":"[^"]*"`, `"request":"ID"`},
+		{` {2,}`, "  "},
 		{`(incarnation|token)"?[=:]"?\d+`, "$1=N"},
 	} {
 		text = regexp.MustCompile(r.what).ReplaceAllString(text, r.by)
