--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -114,6 +116,7 @@
 	Slot       uint32 `json:"slot"`
 	Home       string `json:"home"`
 	Owner      string `json:"owner"`
+	Token      uint64 `json:"token"`
 	Dispatcher string `json:"dispatcher"`
 }
 
@@ -145,6 +148,22 @@
 	return name
 }
 
+// fenceEvent is the log line of a controller that has claimed a term or an epoch.
+var fenceEvent = regexp.MustCompile(`event=fence .*witnesses=(\d+)`)
+
+// Witnesses returns the number of witnesses of the last term that an instance claimed, 0 if none.
+func (r *Rig) Witnesses(name string) int {
+	if name == "" {
+		return 0
+	}
+	all := fenceEvent.FindAllStringSubmatch(r.Output(name), -1)
+	if len(all) == 0 {
+		return 0
+	}
+	n, _ := strconv.Atoi(all[len(all)-1][1])
+	return n
+}
+
 // Pools returns the pool table of the plan with the given data centres declared lost.
 func (r *Rig) Pools(lost ...string) string {
 	r.tb.Helper()
@@ -153,15 +172,22 @@
 	return string(text)
 }
 
-// TryPublish publishes both tables with the operators' command and returns its exit code and output.
-func (r *Rig) TryPublish(routes, pools string) (int, string) {
+// TryPublish publishes both tables with the operators' command and returns its exit code and output. More are further
+// arguments.
+func (r *Rig) TryPublish(routes, pools string, more ...string) (int, string) {
 	r.tb.Helper()
-	args := []string{"publish", "--settings", filepath.Join(r.dir, operator+".settings")}
+	args := []string{"publish", "--settings", r.OperatorSettings()}
 	for _, f := range []struct{ name, text string }{{"routes", routes}, {"pools", pools}} {
 		path := filepath.Join(r.dir, fmt.Sprintf("%s-%d.table", f.name, r.marks.Add(1)))
 		r.check(os.WriteFile(path, []byte(f.text), 0o600))
 		args = append(args, "--"+f.name, path)
 	}
+	return r.Operate(append(args, more...)...)
+}
+
+// Operate runs a command of operators and returns its exit code and output.
+func (r *Rig) Operate(args ...string) (int, string) {
+	r.tb.Helper()
 	cmd := exec.Command(r.bin.Daemon, args...)
 	out, err := cmd.CombinedOutput()
 	if cmd.ProcessState == nil {
@@ -170,6 +196,17 @@
 	return cmd.ProcessState.ExitCode(), string(out)
 }
 
+// OperatorSettings returns the path of the settings file for commands of operators.
+func (r *Rig) OperatorSettings() string { return filepath.Join(r.dir, operator+".settings") }
+
+// Output returns what a process has printed, in all its lives.
+func (r *Rig) Output(name string) string {
+	r.tb.Helper()
+	data, err := os.ReadFile(r.procs[name].Log)
+	r.check(err)
+	return string(data)
+}
+
 // Publish publishes routes and the pool table of the plan, and fails the test if they are not in force.
 func (r *Rig) Publish(routes string) {
 	r.tb.Helper()
