--- /dev/null
+++ b/test/bench/restart_test.go
@@ -0,0 +1,86 @@
+package bench_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/stand/fleet"
+	"github.com/bramleycove/bramleycove/internal/stand/proxy"
+	"github.com/bramleycove/bramleycove/internal/stand/rig"
+)
+
+// BenchmarkRestart kills all instances of a data centre at once and starts as many new ones, one after the other, while
+// three instances of another data centre go on. It measures the time until all are ready, the time until the keys are
+// served again, and what the start costs. An iteration takes about half a minute.
+func BenchmarkRestart(b *testing.B) {
+	for _, n := range []int{3, 12, 43, 86} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for b.Loop() {
+				restart(b, n)
+			}
+		})
+	}
+}
+
+func restart(b *testing.B, n int) {
+	const others = 3
+	plan := fleet.Plan(2, fleet.Size{Instances: n, Stock: 6, Cut: 2})
+	plan.Pools[0].Slots = 4096
+	plan.Instances = plan.Instances[:n+others]
+	r := fleet.Up(b, plan)
+	var names, rest []string
+	for i, in := range plan.Instances {
+		if i < n {
+			names = append(names, in.Name)
+		} else {
+			rest = append(rest, in.Name)
+		}
+	}
+	r.Kill(names...)
+	log, peers := sent(r, names, rig.Log), answered(r, rest)
+	begin := time.Now()
+	r.Start(names...)
+	started := time.Since(begin)
+	for _, name := range names {
+		r.Await(name+" is ready", fleet.Patience, func() bool {
+			s, err := r.Status(name)
+			return err == nil && s.Ready
+		})
+	}
+	ready := time.Since(begin)
+	fleet.Served(r, names[0])
+	served := time.Since(begin)
+	var time, mem []float64
+	for _, name := range names {
+		t, rss := used(b, r.Pid(name))
+		time, mem = append(time, t.Seconds()), append(mem, rss)
+	}
+	slices.Sort(time)
+	slices.Sort(mem)
+	b.ReportMetric(started.Seconds(), "s-started")
+	b.ReportMetric(ready.Seconds(), "s-ready")
+	b.ReportMetric(served.Seconds(), "s-served")
+	b.ReportMetric(time[len(time)/2], "cpu-s-median")
+	b.ReportMetric(time[len(time)-1], "cpu-s-max")
+	b.ReportMetric(mem[len(mem)-1], "MB-max")
+	b.ReportMetric(float64(sent(r, names, rig.Log)-log)/1e3/float64(n), "kB-log/instance")
+	b.ReportMetric(float64(answered(r, rest)-peers)/1e3/float64(n), "kB-peers/instance")
+}
+
+// sent returns the bytes that a service has sent to instances.
+func sent(r *rig.Rig, names []string, service string) (n int64) {
+	for _, name := range names {
+		n += r.Link(name, service).Bytes(proxy.Back)
+	}
+	return n
+}
+
+// answered returns the bytes that instances have answered to others.
+func answered(r *rig.Rig, names []string) (n int64) {
+	for _, name := range names {
+		n += r.Front(name).Bytes(proxy.Back)
+	}
+	return n
+}
