--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -215,7 +215,7 @@
 			return errHole
 		}
 		t.seams.Deliver(rec.Offset, rec.Data)
-		t.publish(rec)
+		t.publish(logsvc.Record{Offset: rec.Offset, Data: slim(rec.Data)})
 		want++
 	}
 	t.mu.Lock()
--- a/internal/peer/relay/tail_test.go
+++ b/internal/peer/relay/tail_test.go
@@ -10,6 +10,7 @@
 	"github.com/bramleycove/bramleycove/internal/peer/relay"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
 // run starts a tail from offset 0 that feeds n, and stops it at the end of the test.
@@ -184,3 +185,26 @@
 	l.set(func() { l.down = false })
 	until(t, "relay serves again", func() bool { _, err := tail.Read(t.Context(), last+1, 0, 10); return err == nil })
 }
+
+// Guards against a relay that passes the state of snapshots on, which no reader of it needs, or that changes other
+// records or the offset that a snapshot covers.
+func TestSnapshotsPassedOnWithoutState(t *testing.T) {
+	var l memLog
+	var n node
+	big := &record.Publish{Base: 0, Id: "big", Pools: make([]byte, 100<<10)}
+	l.append(&record.Record{Kind: &record.Record_Publish{Publish: big}})
+	last := l.append(snapshot(&record.Snapshot{Asof: 1, Config: &record.Config{Version: 1, Pools: big.Pools}}))
+	var whole atomic.Int64
+	tail := run(t, &n, &l, func(s *relay.Seams) {
+		s.Deliver = func(offset uint64, data []byte) { whole.Add(int64(len(data))); n.deliver(offset, data) }
+	})
+	until(t, "both records", n.at(last))
+	batch, err := tail.Read(t.Context(), 1, 0, 10)
+	if err != nil || len(batch.Records) != 2 || whole.Load() < 200<<10 {
+		t.Fatalf("%d records, %d bytes delivered, %v", len(batch.Records), whole.Load(), err)
+	}
+	got, snap := fold.Decode(batch.Records[0].Data), fold.Decode(batch.Records[1].Data).GetSnapshot()
+	if len(got.GetPublish().GetPools()) != len(big.Pools) || snap.GetAsof() != 1 || snap.GetConfig() != nil {
+		t.Errorf("publication of %d bytes, snapshot as of %d, %v", len(got.GetPublish().GetPools()), snap.GetAsof(), snap.GetConfig())
+	}
+}
--- a/test/bench/wire_test.go
+++ b/test/bench/wire_test.go
@@ -11,12 +11,14 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/peer/calls"
 	"github.com/bramleycove/bramleycove/internal/peer/folds"
 	"github.com/bramleycove/bramleycove/internal/peer/relay"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
 // serve serves the calls of other instances on loopback.
@@ -72,8 +74,24 @@
 // BenchmarkRelay measures what a relay spends on one record by the number of instances that read from it with long
 // polls: processor time of both sides together, and bytes sent by the relay.
 func BenchmarkRelay(b *testing.B) {
-	for _, c := range []struct{ readers, size int }{{3, 200}, {12, 200}, {43, 200}, {86, 200}, {43, 2 << 10}, {43, 16 << 10}, {43, 128 << 10}} {
-		b.Run(fmt.Sprintf("readers=%d/record=%d", c.readers, c.size), func(b *testing.B) {
+	for _, c := range []struct{ readers, size, slots int }{
+		{3, 200, 0},
+		{12, 200, 0},
+		{43, 200, 0},
+		{86, 200, 0},
+		{43, 2 << 10, 0},
+		{43, 16 << 10, 0},
+		{43, 128 << 10, 0},
+		{43, 0, 1024},
+		{43, 0, 4096},
+		{43, 0, 16384},
+		{43, 0, 65536},
+	} {
+		name, data := fmt.Sprintf("readers=%d/record=%d", c.readers, c.size), make([]byte, c.size)
+		if c.slots > 0 {
+			name, data = fmt.Sprintf("snapshot/readers=%d/slots=%d", c.readers, c.slots), snapshot(b, c.slots)
+		}
+		b.Run(name, func(b *testing.B) {
 			records := make(chan logsvc.Record)
 			top := relay.New(0, relay.Seams{
 				Now: time.Now, Deliver: func(uint64, []byte) {}, Sources: func() []relay.Source { return []relay.Source{source(records)} },
@@ -90,7 +108,7 @@
 			offset := uint64(0)
 			put := func() {
 				offset++
-				records <- logsvc.Record{Offset: offset, Data: make([]byte, c.size)}
+				records <- logsvc.Record{Offset: offset, Data: data}
 				for got.Load() < int64(offset)*int64(c.readers) {
 					time.Sleep(100 * time.Microsecond)
 				}
@@ -110,6 +128,23 @@
 	}
 }
 
+// snapshot returns the record of a pool in which neighbouring slots have different owners.
+func snapshot(b *testing.B, slots int) []byte {
+	pool := &record.Pool{Name: "stock"}
+	for i := range uint32(slots) {
+		pool.Runs = append(pool.Runs, &record.Run{
+			First: i, Last: i, Dc: "dk-east-1", Owner: fmt.Sprintf("server-%02d", i%20), Token: 4 << 16,
+		})
+	}
+	data, err := proto.Marshal(&record.Record{Kind: &record.Record_Snapshot{Snapshot: &record.Snapshot{
+		Asof: 1, Place: &record.Place{Pools: []*record.Pool{pool}},
+	}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
 // source is a log that has the records that arrive on a channel.
 func source(records <-chan logsvc.Record) relay.Source {
 	return relay.Source{Name: "log", Log: true, Read: func(ctx context.Context, from uint64, wait time.Duration, _ int) (logsvc.Batch, error) {
