Bound queues of ranks with long targets to a quarter of the target

Under a flood each accepted request waited for 0.7 of its target. A caller that was refused once and sent again then got its answer too late, so that half of the answers of a flooded rank were useless.

--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -61,6 +61,12 @@
 	// headroom is the part of a target up to which the expected answer time may rise. Under a flood every accepted
 	// request waits that long; the rest of the target takes up the variance of the service time.
 	headroom = 0.7
+	// quick is the part of a target up to which the expected answer time may rise when that is long compared with a
+	// service. A longer queue serves no more, and a caller that was refused once and sends again would get its answer
+	// after the target: under a flood half of the answers came too late with 0.7.
+	quick = 0.25
+	// minQueue is the expected answer time, in services, that is allowed in any case so that servers stay busy.
+	minQueue = 6
 	// gapWeight is smaller: a flood fills the queue up to the shortest gap seen lately, so the mean must be steady.
 	gapWeight = 0.02
 	// minShare is assumed for a rank without a guaranteed share.
@@ -120,7 +126,7 @@
 	c := &q.classes[rank]
 	limit := deadline.Sub(now)
 	if c.Target > 0 {
-		limit = min(limit, time.Duration(headroom*float64(c.Target)))
+		limit = min(limit, c.bound())
 	}
 	if over := q.estimate(rank) - limit; over > 0 && c.live > 0 || limit <= 0 {
 		return nil, max(over, minRetry), false
@@ -134,6 +140,12 @@
 	return e, 0, true
 }
 
+// bound returns how long the expected answer time of the rank may be.
+func (c *class[T]) bound() time.Duration {
+	target := c.Target.Seconds()
+	return time.Duration(min(headroom*target, max(quick*target, minQueue*c.cost)) * float64(time.Second))
+}
+
 // estimate returns the expected time until a new entry of the rank is answered.
 func (q *Queue[T]) estimate(rank int) time.Duration {
 	c := &q.classes[rank]
