Let a rank save up share that it does not use

Arrivals come in bursts. A rank that offered less than its share queued behind a flood as if its share were a slow server of its own. It now saves up to four services while nothing of it waits, and spends them on requests that have waited for a fifth of their target.

--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -6,7 +6,6 @@
 package ranks
 
 import (
-	"math"
 	"time"
 )
 
@@ -20,6 +19,7 @@
 type Entry[T any] struct {
 	Value    T
 	Deadline time.Time
+	pushed   time.Time
 	rank     int
 	state    state
 }
@@ -48,6 +48,7 @@
 	head    int
 	live    int
 	deficit float64   // service time that the rank is owed, in seconds
+	credit  float64   // share that it did not use while nothing of it waited, in seconds
 	cost    float64   // mean service time in seconds
 	gap     float64   // mean time between two pops while the rank was waiting, in seconds; 0 if never seen
 	popped  time.Time // last pop, zero unless the rank has been waiting since
@@ -67,6 +68,11 @@
 	quick = 0.25
 	// minQueue is the expected answer time, in services, that is allowed in any case so that servers stay busy.
 	minQueue = 6
+	// saved is how many services a rank may save up while it has nothing waiting. Arrivals come in bursts: without it a
+	// rank that offers less than its share queues as if its share were a slow server of its own.
+	saved = 4
+	// patience is the part of its target that a request waits before its rank spends what it saved.
+	patience = 0.2
 	// gapWeight is smaller: a flood fills the queue up to the shortest gap seen lately, so the mean must be steady.
 	gapWeight = 0.02
 	// minShare is assumed for a rank without a guaranteed share.
@@ -134,7 +140,7 @@
 	if c.live == 0 {
 		c.popped = time.Time{}
 	}
-	e = &Entry[T]{Value: v, Deadline: deadline, rank: rank}
+	e = &Entry[T]{Value: v, Deadline: deadline, pushed: now, rank: rank}
 	c.entries = append(c.entries, e)
 	c.live++
 	return e, 0, true
@@ -197,7 +203,7 @@
 	for i := range q.classes {
 		expired = q.classes[i].clean(now, expired)
 	}
-	rank := q.next()
+	rank := q.next(now)
 	if rank < 0 {
 		return nil, expired
 	}
@@ -213,20 +219,25 @@
 	return e, expired
 }
 
-// next returns the most urgent rank with work, unless a less urgent one is owed a whole service.
-func (q *Queue[T]) next() int {
+// next returns the most urgent rank with work, unless a less urgent one is owed a whole service. Credit counts only
+// once the head of the queue has waited for a part of its target: short waits of patient work must not delay urgent work.
+func (q *Queue[T]) next(now time.Time) int {
 	first, owed := -1, -1
 	most := 0.0
 	for i := range q.classes {
 		c := &q.classes[i]
 		if c.live == 0 {
-			c.deficit = 0 // what was not used is lent, not saved
+			c.deficit = 0 // credit holds what was not used
 			continue
 		}
 		if first < 0 {
 			first = i
 		}
-		if over := c.deficit - c.cost; over >= -1e-9 && (owed < 0 || over > most) {
+		owing := c.deficit
+		if c.Target > 0 && now.Sub(c.entries[c.head].pushed).Seconds() >= patience*c.Target.Seconds() {
+			owing += c.credit
+		}
+		if over := owing - c.cost; over >= -1e-9 && (owed < 0 || over > most) {
 			owed, most = i, over
 		}
 	}
@@ -236,16 +247,23 @@
 	return first
 }
 
-// charge accounts for a service of the rank: each waiting rank is owed its share of it.
+// charge accounts for a service of the rank: each rank earns its share of it.
 func (q *Queue[T]) charge(rank int) {
 	cost := q.classes[rank].cost
 	for i := range q.classes {
-		if c := &q.classes[i]; c.live > 0 {
+		c := &q.classes[i]
+		if c.live > 0 {
 			c.deficit += c.Share * cost
+		} else {
+			c.credit = min(c.credit+c.Share*cost, saved*c.cost)
 		}
 	}
 	c := &q.classes[rank]
-	c.deficit = math.Max(0, c.deficit-cost)
+	c.deficit -= cost
+	if c.deficit < 0 {
+		c.credit = max(0, c.credit+c.deficit)
+		c.deficit = 0
+	}
 }
 
 // pace updates the mean time between pops.
