Cap the traffic of each instance to other regions

Cause: the link between regions is narrow and paid by volume, and nothing capped what requests take of it. Change: setting link, default 2.5 MB/s, two thirds of 30 Mbit/s, divided by the listed instances of the region.

--- a/internal/oper/config/config.go
+++ b/internal/oper/config/config.go
@@ -27,6 +27,7 @@
 
 	Linger time.Duration // how long a stopping instance keeps accepting
 	Budget int           // appends a second that all instances together may make to the ledger
+	Link   int           // bytes a second of requests and answers that all instances of the region together may exchange with others
 	Debug  []string      // subsystems that log at debug level
 	Limits Limits
 }
--- a/internal/oper/config/read.go
+++ b/internal/oper/config/read.go
@@ -12,13 +12,14 @@
 
 var fields = []string{
 	"instance", "dc", "region", "caller", "peer", "admin", "advertise", "log", "list", "seeds",
-	"linger", "budget", "debug", "limits", "proxies",
+	"linger", "budget", "link", "debug", "limits", "proxies",
 }
 
 const (
 	maxLinger = 10 * time.Minute
 	// maxBudget is far above the several hundred appends a second that the log service sustains.
 	maxBudget      = 10_000
+	minLink        = 10_000
 	maxConnections = 1 << 20
 	maxSize        = 1 << 30
 	maxIdle        = time.Hour
@@ -28,6 +29,8 @@
 	return &Config{
 		Linger: 2 * time.Second,
 		Budget: 200,
+		// Two thirds of 30 Mbit/s; the rest is left to control traffic and to others.
+		Link:   2_500_000,
 		Limits: Limits{Header: 8 << 10, Body: 1 << 20, Connections: 1000, Idle: time.Minute, Read: 5 * time.Second},
 	}
 }
@@ -46,6 +49,9 @@
 	if o.Has("budget") {
 		cfg.Budget = o.Get("budget").Int(1, maxBudget)
 	}
+	if o.Has("link") {
+		cfg.Link = o.Get("link").Int(minLink, maxSize)
+	}
 	readDebug(o.Get("debug"), cfg)
 	if o.Has("limits") {
 		readLimits(o.Get("limits"), &cfg.Limits)
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/edge/front"
 	"github.com/bramleycove/bramleycove/internal/flow/lanes"
+	"github.com/bramleycove/bramleycove/internal/flow/link"
 	"github.com/bramleycove/bramleycove/internal/flow/once"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
@@ -155,6 +156,7 @@
 	d.stage = lanes.New(d.laneConfig())
 	d.passer = pass.New(d.view, d.stage.Do)
 	d.passer.Via = d.via
+	d.passer.SetLink(link.New(int64(cfg.Link)))
 	d.member = member.New(d.memberConfig())
 	d.front = front.New(d.frontConfig())
 	d.admin = admin.New(admin.Sources{Status: d.status, Explain: d.explain, Metrics: d.meter.Text})
--- a/internal/oper/daemon/peers.go
+++ b/internal/oper/daemon/peers.go
@@ -54,6 +54,7 @@
 			d.listed.Store(&l)
 			d.view.SetList(l)
 			d.drive.SetList(l)
+			d.passer.SetRate(int64(d.cfg.Link / d.regional()))
 		} else if !failing {
 			d.log.Warn("list-unreachable", "error", err)
 		}
@@ -76,6 +77,18 @@
 	return false
 }
 
+// regional returns how many instances, this one included, share the region's link to others. Any of them may receive
+// the work, so each gets an equal part.
+func (d *daemon) regional() int {
+	n := 1
+	for _, i := range d.others() {
+		if i.Region == d.cfg.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // others returns the live instances but this one.
 func (d *daemon) others() []roster.Instance {
 	var out []roster.Instance
