--- a/internal/stand/rig/control.go
+++ b/internal/stand/rig/control.go
@@ -129,7 +129,7 @@
 // Caller returns the address of the caller listener of an instance.
 func (r *Rig) Caller(instance string) netip.AddrPort {
 	r.tb.Helper()
-	return r.address(instance, "caller")
+	return r.Address(instance, "caller")
 }
 
 // Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
