Detach peer handlers from the context of the HTTP request

Cause: the HTTP server uses a request's context again, and a timer of a handler (a relay's long poll) that fired while the handler returned still looked up values in it. Ruled out: our own state (both stacks are in the request's user data). Before: 'go test -race ./test/...' reported this data race in chaos, config and owner.

--- a/internal/peer/calls/server.go
+++ b/internal/peer/calls/server.go
@@ -39,7 +39,7 @@
 	if h.OnState == nil {
 		return nil, unimplemented()
 	}
-	return h.OnState(ctx)
+	return h.OnState(detach(ctx))
 }
 
 // Read passes the request to OnRead.
@@ -56,7 +56,31 @@
 	if f == nil {
 		return nil, unimplemented()
 	}
-	return f(ctx, req)
+	return f(detach(ctx), req)
+}
+
+// detached ends with the listener. It does not refer to the context of the request, which the HTTP server uses again
+// for the next request: a timer of a handler that fires as the handler returns would still look up values in it.
+type detached struct {
+	context.Context
+	done <-chan struct{}
+}
+
+func detach(ctx context.Context) context.Context {
+	return detached{context.Background(), ctx.Done()}
+}
+
+// Done returns a channel that is closed when the listener is shut down.
+func (d detached) Done() <-chan struct{} { return d.done }
+
+// Err returns context.Canceled after that.
+func (d detached) Err() error {
+	select {
+	case <-d.done:
+		return context.Canceled
+	default:
+		return nil
+	}
 }
 
 func unimplemented() error { return twirp.NewError(twirp.Unimplemented, "not served by this instance") }
