Spare idle candidates work, and keep fence requests from hiding authority

A fence request says that a holder is alive, not that it lacks authority: an instance whose heartbeats did not get through would have claimed the role after 10 s. Witnesses of old terms are forgotten.

--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -325,7 +325,8 @@
 	m.mu.Unlock()
 	if ok {
 		if m.Heard != nil {
-			m.Heard(time.Now(), pair, false, false)
+			// Only a reply can tell that a holder lacks authority.
+			m.Heard(time.Now(), pair, true, false)
 		}
 		m.Kick()
 	}
--- a/internal/place/ctrl/bench_test.go
+++ b/internal/place/ctrl/bench_test.go
@@ -70,3 +70,20 @@
 		})
 	}
 }
+
+// BenchmarkIdleStep measures one step of an instance that is not the controller, by members. It makes 20 a second.
+func BenchmarkIdleStep(b *testing.B) {
+	for _, n := range []int{12, 25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			w, c := steady(b, n, 20, 64)
+			i := w.insts[0]
+			if i == c {
+				i = w.insts[1]
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				i.core.Step(w.now, &i.place, w.now)
+			}
+		})
+	}
+}
--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -77,6 +78,9 @@
 	for _, set := range c.cell.Earlier {
 		ids = append(ids, set...)
 	}
+	if len(c.shown) > 2*len(ids)+64 {
+		maps.DeleteFunc(c.shown, func(id string, _ time.Time) bool { return !slices.Contains(ids, id) })
+	}
 	for _, id := range ids {
 		if last, ok := c.shown[id]; !ok || c.shows(id) {
 			c.shown[id] = now
@@ -186,6 +190,9 @@
 		c.begin(now, p, false)
 		return
 	}
+	if c.high != (lease.Pair{}) && c.parting.IsZero() && c.weak.IsZero() && now.Sub(c.heard) < silence {
+		return
+	}
 	at, why := c.due(now)
 	if now.Before(at) {
 		return
