--- a/internal/peer/relay/tail_test.go
+++ b/internal/peer/relay/tail_test.go
@@ -199,6 +199,7 @@
 		s.Deliver = func(offset uint64, data []byte) { whole.Add(int64(len(data))); n.deliver(offset, data) }
 	})
 	until(t, "both records", n.at(last))
+	until(t, "contact with the log", func() bool { return !tail.Contact().IsZero() })
 	batch, err := tail.Read(t.Context(), 1, 0, 10)
 	if err != nil || len(batch.Records) != 2 || whole.Load() < 200<<10 {
 		t.Fatalf("%d records, %d bytes delivered, %v", len(batch.Records), whole.Load(), err)
