--- a/internal/place/ctrl/claim.go
+++ b/internal/place/ctrl/claim.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,7 +18,6 @@
 	turn      = 600 * time.Millisecond // delay between candidates
 	grace     = 300 * time.Millisecond // delay of the first candidate of a data centre without a term
 	surveying = 250 * time.Millisecond // longest wait for answers before a claim
-	goneAfter = time.Minute            // after which the list's silence about a witness counts as its end
 	weakAfter = 10 * time.Second       // after which a holder without authority may be replaced
 	unlisted  = 5 * time.Second        // longest wait for the list before the first term is claimed without it
 	drifting  = 3 * time.Second        // how long the witness set may differ from what is alive
@@ -71,45 +69,34 @@
 	c.missing(now)
 }
 
-// missing notes when each witness was last shown by the platform, and counts those as gone that it has not shown for a
-// minute. A name under which another process answers does not show the old one.
+// missing counts witnesses as gone that the platform has not shown for a minute. A name under which another process
+// answers does not show the old one.
 func (c *Core) missing(now time.Time) {
 	ids := slices.Clone(c.cell.Witnesses)
 	for _, set := range c.cell.Earlier {
 		ids = append(ids, set...)
 	}
-	if len(c.shown) > 2*len(ids)+64 {
-		maps.DeleteFunc(c.shown, func(id string, _ time.Time) bool { return !slices.Contains(ids, id) })
+	gone := c.absent.Watch(now, ids, c.shows)
+	if !c.Controller() {
+		return
 	}
 	for _, id := range ids {
-		if last, ok := c.shown[id]; !ok || c.shows(id) {
-			c.shown[id] = now
-		} else if now.Sub(last) >= goneAfter {
-			if c.Controller() {
-				c.fence.Confirm(id, now)
-				c.gone(id, true)
-			}
-			continue
+		if gone[id] {
+			c.fence.Confirm(id, now)
 		}
-		if c.Controller() {
-			c.gone(id, false)
+		c.quorum.Gone(id, gone[id])
+		if c.next != nil {
+			c.next.Gone(id, gone[id])
 		}
 	}
 }
 
-func (c *Core) gone(id string, gone bool) {
-	c.quorum.Gone(id, gone)
-	if c.next != nil {
-		c.next.Gone(id, gone)
-	}
-}
-
 func (c *Core) shows(id string) bool {
 	if !c.listed {
 		return true
 	}
-	if rest, ok := strings.CutPrefix(id, "server:"); ok {
-		s := c.fleet.Server(name(rest))
+	if n, ok := fleet.Name(id); ok {
+		s := c.fleet.Server(n)
 		return s != nil && (s.Incarnation == 0 || s.Key() == id)
 	}
 	if id == c.ID {
@@ -122,30 +109,9 @@
 	return p != nil && (p.id == "" || p.id == id)
 }
 
-// candidates returns the names of the instances that may claim, in order.
-func (c *Core) candidates() []string {
-	var out, rest []string
-	for _, i := range c.list.Instances {
-		if i.DC == c.DC && !i.Leaving && (c.cell.Term == 0 || i.Name != name(c.cell.Holder)) {
-			rest = append(rest, i.Name)
-		}
-	}
-	for _, id := range c.cell.Successors {
-		if n := name(id); slices.Contains(rest, n) && !slices.Contains(out, n) {
-			out = append(out, n)
-		}
-	}
-	for _, n := range homes.Rank(c.DC, rest) {
-		if !slices.Contains(out, n) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // due returns when this instance may claim, as far as is known now, and why.
 func (c *Core) due(now time.Time) (at time.Time, why string) {
-	order := c.candidates()
+	order := homes.Candidates(c.DC, &c.list, c.cell.Term != 0, name(c.cell.Holder), c.cell.Successors)
 	rank := slices.Index(order, name(c.ID))
 	if rank < 0 {
 		rank = len(order)
@@ -168,10 +134,8 @@
 
 // depart notes when the holder was first seen leaving, by the list or by its own word.
 func (c *Core) depart(now time.Time) {
-	left := c.holderLeft
-	for _, i := range c.list.Instances {
-		left = left || (i.DC == c.DC && i.Leaving && i.Name == name(c.cell.Holder) && c.high == lease.Pair{Term: c.cell.Term})
-	}
+	left, _ := homes.Leaving(&c.list, c.DC, name(c.cell.Holder))
+	left = c.holderLeft || (left && c.high == lease.Pair{Term: c.cell.Term})
 	switch {
 	case !left:
 		c.parting = time.Time{}
@@ -256,23 +220,15 @@
 			}
 		}
 	}
-	for _, s := range c.fleet.All() {
-		if s.Checks && s.Incarnation != 0 && s.Alive {
-			ids = append(ids, s.Key())
-		}
-	}
+	ids = append(ids, c.fleet.Witnesses(false)...)
 	return &record.Record{Kind: &record.Record_Term{Term: &record.Term{
 		Dc: c.DC, Holder: c.ID, Successors: next, Witnesses: ids, Base: c.cell.Term,
 	}}}
 }
 
 func (c *Core) leavingPeer(n string) bool {
-	for _, i := range c.list.Instances {
-		if i.Name == n {
-			return i.Leaving
-		}
-	}
-	return true
+	leaving, listed := homes.Leaving(&c.list, c.DC, n)
+	return leaving || !listed
 }
 
 // claim waits until the fold shows whose term is in force.
@@ -340,7 +296,7 @@
 func (c *Core) displace(now time.Time) {
 	for _, n := range keys(c.peers) {
 		if p := c.peers[n]; !p.done && (p.asked.IsZero() || now.Sub(p.asked) >= lease.Interval) {
-			c.ask(now, n, p, c.fenceRequest())
+			c.ask(now, n, p, c.request())
 		}
 	}
 	c.fleet.Round(now, c.authority(now))
@@ -368,7 +324,7 @@
 	}
 }
 
-func (c *Core) fenceRequest() *peerpb.FenceRequest {
+func (c *Core) request() *peerpb.FenceRequest {
 	return &peerpb.FenceRequest{
 		Dc: c.DC, Term: c.Pair.Term, Epoch: c.Pair.Epoch, Holder: c.ID, Peer: c.Peer.String(),
 	}
@@ -392,27 +348,11 @@
 // doubt notes which servers may hold any slot by what earlier pairs granted: those that have not confirmed the pair.
 func (c *Core) doubt() {
 	c.fleet.Doubt(c.settle, time.Time{})
-	for _, id := range c.fence.Missing() {
-		rest, ok := strings.CutPrefix(id, "server:")
-		if !ok {
-			continue
-		}
-		s := c.fleet.Server(name(rest))
-		if s != nil && s.Key() == id {
-			continue
-		}
-		for _, p := range c.tables.Pools {
-			if p.Keyed && (s == nil || s.Pool == p.Name) {
-				c.fleet.Expose.Unknown(id, p.Name, c.settle)
-			}
-		}
-	}
-	known := make(map[string]bool)
+	c.fleet.DoubtMissing(c.settle, c.tables, c.fence.Missing())
 	for _, p := range c.tables.Pools {
 		for _, s := range c.place.Slots(p.Name) {
-			if s.DC == c.DC && s.Owner != "" && c.fleet.Server(s.Owner) == nil && !known[s.Owner] {
-				known[s.Owner] = true
-				c.fleet.Expose.Unknown(fleet.Earlier(s.Owner), p.Name, c.settle)
+			if s.DC == c.DC {
+				c.fleet.DoubtOwner(c.settle, p.Name, s.Owner)
 			}
 		}
 	}
--- a/internal/place/ctrl/core.go
+++ b/internal/place/ctrl/core.go
@@ -107,7 +107,7 @@
 	renewing bool      // a holder with authority that claims a new term for itself
 	moved    time.Time // when a slot was last on the move
 	drift    time.Time // since when the witness set has differed from what is alive
-	shown    map[string]time.Time
+	absent   lease.Absence
 	retry    time.Time // next Ready append
 
 	peers map[string]*peer // by name in the list
@@ -137,7 +137,7 @@
 
 // New returns an idle core.
 func New(cfg Config) *Core {
-	c := &Core{Config: cfg, since: cfg.Start, heard: cfg.Start, cellSeen: cfg.Start, shown: make(map[string]time.Time)}
+	c := &Core{Config: cfg, since: cfg.Start, heard: cfg.Start, cellSeen: cfg.Start}
 	c.fleet = fleet.New(c.event)
 	c.log.Event = c.event
 	c.peers = make(map[string]*peer)
--- a/internal/place/ctrl/serve.go
+++ b/internal/place/ctrl/serve.go
@@ -71,7 +71,7 @@
 	for _, n := range keys(c.peers) {
 		p := c.peers[n]
 		if c.book.Silent(now, p.id) && now.Sub(p.asked) >= lease.Interval {
-			c.ask(now, n, p, c.fenceRequest())
+			c.ask(now, n, p, c.request())
 		}
 	}
 }
@@ -149,24 +149,7 @@
 
 // alike reports whether the witness set is what is alive now.
 func (c *Core) alike(now time.Time) bool {
-	live := make(map[string]bool)
-	for _, id := range c.table.Live(now) {
-		live[id] = true
-	}
-	for _, s := range c.fleet.All() {
-		if s.Checks && s.Alive && s.Confirmed {
-			live[s.Key()] = true
-		}
-	}
-	if len(live) != len(c.cell.Witnesses) {
-		return false
-	}
-	for _, id := range c.cell.Witnesses {
-		if !live[id] {
-			return false
-		}
-	}
-	return true
+	return lease.Same(c.cell.Witnesses, append(c.table.Live(now), c.fleet.Witnesses(true)...))
 }
 
 // Heartbeat answers an instance at now. Without authority the reply is not accepted, but its nonce lets the next
--- a/internal/place/fleet/fleet.go
+++ b/internal/place/fleet/fleet.go
@@ -60,6 +60,17 @@
 	return out
 }
 
+// Witnesses returns the ids of the checking servers that answer, or of those among them that confirmed the pair.
+func (f *Fleet) Witnesses(confirmed bool) []string {
+	var out []string
+	for _, s := range f.All() {
+		if s.Checks && s.Incarnation != 0 && s.Alive && (s.Confirmed || !confirmed) {
+			out = append(out, s.Key())
+		}
+	}
+	return out
+}
+
 // Changed reports, once, whether anything changed that slots or lanes depend on.
 func (f *Fleet) Changed() bool {
 	changed := f.changed
@@ -323,6 +334,30 @@
 	}
 }
 
+// DoubtMissing notes that server processes among the witnesses ids may hold any slot, unless they are what answers
+// under their name now: those confirm or are in doubt by name.
+func (f *Fleet) DoubtMissing(until time.Time, t *tables.Tables, ids []string) {
+	for _, id := range ids {
+		n, ok := Name(id)
+		s := f.servers[n]
+		if !ok || (s != nil && s.Key() == id) {
+			continue
+		}
+		for i := range t.Pools {
+			if p := &t.Pools[i]; p.Keyed && (s == nil || s.Pool == p.Name) {
+				f.Expose.Unknown(id, p.Name, until)
+			}
+		}
+	}
+}
+
+// DoubtOwner notes that a recorded owner that is not in the tables any more may hold any slot of the pool.
+func (f *Fleet) DoubtOwner(until time.Time, pool, owner string) {
+	if owner != "" && f.servers[owner] == nil {
+		f.Expose.Unknown(Earlier(owner), pool, until)
+	}
+}
+
 // Expire drops reports that are too old at now to tell who holds a slot. A holder of the old pair that renews its
 // term relies on it.
 func (f *Fleet) Expire(now time.Time) {
--- a/internal/place/fleet/server.go
+++ b/internal/place/fleet/server.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
@@ -56,9 +57,19 @@
 	flight   []grants.Range // the set of the call in flight
 }
 
+// prefix tells the ids of servers from those of instances.
+const prefix = "server:"
+
 // ID names a process of a backend server as a witness and as a holder of grants.
 func ID(name string, incarnation uint64) string {
-	return fmt.Sprintf("server:%s/%x", name, incarnation)
+	return fmt.Sprintf("%s%s/%x", prefix, name, incarnation)
+}
+
+// Name returns the name of the server in an ID, and whether id is one.
+func Name(id string) (name string, ok bool) {
+	rest, ok := strings.CutPrefix(id, prefix)
+	name, _, _ = strings.Cut(rest, "/")
+	return name, ok
 }
 
 // Earlier names a server's process as the holder of what earlier pairs granted.
--- a/internal/place/homes/homes.go
+++ b/internal/place/homes/homes.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
 )
 
 // Weight is the number of servers that a data centre has in a pool.
@@ -81,6 +82,38 @@
 	return out
 }
 
+// Leaving reports whether the list shows an instance as leaving, and whether it shows it at all.
+func Leaving(l *roster.List, dc, name string) (leaving, listed bool) {
+	for _, i := range l.Instances {
+		if i.DC == dc && i.Name == name {
+			return i.Leaving, true
+		}
+	}
+	return false, false
+}
+
+// Candidates returns the names of the instances that may claim the control role of a data centre, in order: successors
+// of the current term first, the others by rendezvous hashing. The current holder, if there is one, is not among them.
+func Candidates(dc string, l *roster.List, held bool, holder string, successors []string) []string {
+	var out, rest []string
+	for _, i := range l.Instances {
+		if i.DC == dc && !i.Leaving && (!held || i.Name != holder) {
+			rest = append(rest, i.Name)
+		}
+	}
+	for _, id := range successors {
+		if n, _, _ := strings.Cut(id, "/"); slices.Contains(rest, n) && !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	for _, n := range Rank(dc, rest) {
+		if !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Server is a candidate owner of slots.
 type Server struct {
 	Name     string
--- a/internal/place/lease/expose.go
+++ b/internal/place/lease/expose.go
@@ -77,6 +77,14 @@
 
 // Unknown notes that holder may serve any slot of pool until the time given, by what earlier pairs granted.
 func (e *Exposure) Unknown(holder, pool string, until time.Time) {
+	for i := range e.holders[holder] {
+		if c := &e.holders[holder][i]; c.all == pool {
+			if until.After(c.until) {
+				c.until = until
+			}
+			return
+		}
+	}
 	e.add(holder, claim{all: pool, until: until, settled: true})
 }
 
--- a/internal/place/lease/quorum.go
+++ b/internal/place/lease/quorum.go
@@ -8,6 +8,12 @@
 // Majority returns how many of n witnesses give authority.
 func Majority(n int) int { return n/2 + 1 }
 
+// Same reports whether two witness sets have the same members.
+func Same(a, b []string) bool {
+	a, b = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
+	return slices.Equal(a, b)
+}
+
 // Quorum tracks the confirmations of one pair by one witness set. It is not safe for concurrent use.
 type Quorum struct {
 	seen map[string]time.Time // zero: never confirmed
