--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -212,7 +212,7 @@
 			d.view.SetCell(members, owners)
 			d.drive.SetRoster(members)
 		},
-		Struck:  func(list []*peerpb.Strike) { d.crash.merge(time.Now(), list) },
+		Struck: func(list []*peerpb.Strike) { d.crash.merge(time.Now(), list) },
 	}
 }
 
