Give handlers of control messages a context that is not reused

Long polls of a relay derive a context with a timer from that of the request, which fasthttp reuses for the next request of the connection; the timer's goroutine may still read it then.

--- a/internal/peer/calls/server.go
+++ b/internal/peer/calls/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sourcegraph/conc"
 	"github.com/twitchtv/twirp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
@@ -39,7 +40,9 @@
 	if h.OnState == nil {
 		return nil, unimplemented()
 	}
-	return h.OnState(ctx)
+	own, release := detach(ctx)
+	defer release()
+	return h.OnState(own)
 }
 
 // Read passes the request to OnRead.
@@ -56,7 +59,28 @@
 	if f == nil {
 		return nil, unimplemented()
 	}
-	return f(ctx, req)
+	own, release := detach(ctx)
+	defer release()
+	return f(own, req)
+}
+
+// detach returns a context that ends with ctx and has no other part of it. ctx is fasthttp's context of the request,
+// which is reused for the next one: a timer of a context derived from it would still read it then.
+func detach(ctx context.Context) (own context.Context, release func()) {
+	own, cancel := context.WithCancel(context.Background())
+	done := ctx.Done()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		select {
+		case <-done:
+			cancel()
+		case <-own.Done():
+		}
+	})
+	return own, func() {
+		cancel()
+		wg.Wait()
+	}
 }
 
 func unimplemented() error { return twirp.NewError(twirp.Unimplemented, "not served by this instance") }
