--- a/internal/peer/calls/server.go
+++ b/internal/peer/calls/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sourcegraph/conc"
 	"github.com/twitchtv/twirp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
@@ -39,7 +40,9 @@
 	if h.OnState == nil {
 		return nil, unimplemented()
 	}
-	return h.OnState(detach(ctx))
+	own, release := detach(ctx)
+	defer release()
+	return h.OnState(own)
 }
 
 // Read passes the request to OnRead.
@@ -56,30 +59,27 @@
 	if f == nil {
 		return nil, unimplemented()
 	}
-	return f(detach(ctx), req)
+	own, release := detach(ctx)
+	defer release()
+	return f(own, req)
 }
 
-// detached ends with the listener. It does not refer to the context of the request, which the HTTP server uses again
-// for the next request: a timer of a handler that fires as the handler returns would still look up values in it.
-type detached struct {
-	context.Context
-	done <-chan struct{}
-}
-
-func detach(ctx context.Context) context.Context {
-	return detached{context.Background(), ctx.Done()}
-}
-
-// Done returns a channel that is closed when the listener is shut down.
-func (d detached) Done() <-chan struct{} { return d.done }
-
-// Err returns context.Canceled after that.
-func (d detached) Err() error {
-	select {
-	case <-d.done:
-		return context.Canceled
-	default:
-		return nil
+// detach returns a context that ends with ctx and has no other part of it. ctx is fasthttp's context of the request,
+// which is reused for the next one: a timer of a context derived from it would still read it then.
+func detach(ctx context.Context) (own context.Context, release func()) {
+	own, cancel := context.WithCancel(context.Background())
+	done := ctx.Done()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		select {
+		case <-done:
+			cancel()
+		case <-own.Done():
+		}
+	})
+	return own, func() {
+		cancel()
+		wg.Wait()
 	}
 }
 
