Spread lanes evenly over instances, pass gossiped strikes on, end loads with their test

Cause: with 5 lanes on 3 instances one instance dispatched none; a strike gossiped to an instance that is not the controller was lost; callers of a failed test reported to it after its end, which the race detector flagged. Change: rendezvous order with a bound of an equal part; such an instance hands strikes on with its heartbeats; a load ends in the test's cleanup. Result: TestLanesAreSpread: 12 lanes on 5 instances, at most 3 each; tests of internal/place pass.

--- a/internal/oper/daemon/peers.go
+++ b/internal/oper/daemon/peers.go
@@ -239,6 +239,11 @@
 func (d *daemon) onGossip(_ context.Context, req *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
 	now := time.Now()
 	d.drive.Strike(now, req.GetStrikes())
+	// An instance that is not the controller passes the strikes on with its heartbeats.
+	d.crash.merge(now, req.GetStrikes())
+	if !d.drive.Controller() {
+		return &peerpb.GossipReply{Strikes: d.crash.recent(now)}, nil
+	}
 	return &peerpb.GossipReply{Strikes: d.drive.Strikes(now)}, nil
 }
 
--- a/internal/place/lanes/lanes.go
+++ b/internal/place/lanes/lanes.go
@@ -3,6 +3,7 @@
 package lanes
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -204,25 +205,51 @@
 		}
 	}
 	slices.Sort(able)
-	for name, l := range t.lanes {
+	held := t.held()
+	for _, name := range slices.Sorted(maps.Keys(t.lanes)) {
+		l := t.lanes[name]
 		t.expire(l, now)
 		switch {
 		case l.gone && len(l.past) == 0:
 			delete(t.lanes, name)
 		case !l.gone:
-			t.elect(l, able, now, open)
+			t.elect(l, able, held, now, open)
 		}
 	}
 	return t.counter != before
 }
 
+// held returns the number of lanes of each dispatcher.
+func (t *Table) held() map[string]int {
+	out := make(map[string]int)
+	for _, l := range t.lanes {
+		if l.holder != "" && !l.drawn {
+			out[l.holder]++
+		}
+	}
+	return out
+}
+
+// choose returns the first instance in rendezvous order that dispatches less than an equal part of the lanes. With few
+// lanes, rendezvous hashing alone leaves some instances without any and others with several.
+func (t *Table) choose(name string, able []string, held map[string]int) string {
+	bound := (len(t.lanes) + len(able) - 1) / len(able)
+	order := homes.Rank(name, able)
+	for _, id := range order {
+		if held[id] < bound {
+			return id
+		}
+	}
+	return order[0]
+}
+
 func (t *Table) expire(l *lane, now time.Time) {
 	l.past = slices.DeleteFunc(l.past, func(p term) bool {
 		return now.After(p.last.Add(lease.Stretch(lease.L) + l.Linger))
 	})
 }
 
-func (t *Table) elect(l *lane, able []string, now, open time.Time) {
+func (t *Table) elect(l *lane, able []string, held map[string]int, now, open time.Time) {
 	if l.holder != "" && slices.Contains(able, l.holder) && !l.drawn {
 		return
 	}
@@ -236,7 +263,7 @@
 	if len(able) == 0 || (l.Linger > 0 && now.Before(open.Add(l.Linger))) {
 		return
 	}
-	best := homes.Rank(l.Name, able)[0]
+	best := t.choose(l.Name, able, held)
 	if id := t.prior[l.Name]; slices.Contains(able, id) {
 		best = id
 	} else if id != "" && now.Sub(t.started) < patience && t.members[id] == nil {
@@ -244,6 +271,7 @@
 	}
 	delete(t.prior, l.Name)
 	l.holder, l.drawn, l.revision = best, false, t.next()
+	held[best]++
 	t.touch(l.holder)
 	t.shared = t.next()
 }
--- a/internal/place/lanes/lanes_test.go
+++ b/internal/place/lanes/lanes_test.go
@@ -1,6 +1,7 @@
 package lanes_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,3 +78,30 @@
 		t.Error("not clear after the lapse")
 	}
 }
+
+// Guards against instances without lanes beside others with several, as rendezvous hashing alone gives with few lanes.
+func TestLanesAreSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tab := lanes.New(lease.Pair{Term: 1})
+	ids := []string{"a", "b", "c", "d", "e"}
+	var specs []lanes.Spec
+	for i := range 12 {
+		specs = append(specs, lanes.Spec{Name: fmt.Sprintf("p/s%d", i), Pool: "p", Keyed: true})
+	}
+	for _, id := range ids {
+		tab.Beat(now, id, id+":1", false)
+	}
+	tab.Update(specs)
+	tab.Elect(now, now.Add(-time.Hour))
+	total := 0
+	for _, id := range ids {
+		n := len(fill(tab, now, id))
+		total += n
+		if n > 3 {
+			t.Errorf("%s dispatches %d of 12 lanes", id, n)
+		}
+	}
+	if total != 12 {
+		t.Errorf("%d of 12 lanes have a dispatcher", total)
+	}
+}
--- a/internal/stand/fleet/load.go
+++ b/internal/stand/fleet/load.go
@@ -14,6 +14,7 @@
 // Load is a background load on a system: callers that send one request after the other.
 type Load struct {
 	stop  chan struct{}
+	once  sync.Once
 	tasks conc.WaitGroup
 	sent  atomic.Int64
 
@@ -46,6 +47,7 @@
 			}
 		})
 	}
+	r.Cleanup(l.end)
 	return l
 }
 
@@ -67,7 +69,13 @@
 
 // Stop ends the callers after their current call, and returns all answers.
 func (l *Load) Stop() []rig.Answer {
-	close(l.stop)
-	l.tasks.Wait()
+	l.end()
 	return l.answers
 }
+
+// end is called at the end of the test too: a test that failed early has not called Stop, and its callers must not
+// report to it afterwards.
+func (l *Load) end() {
+	l.once.Do(func() { close(l.stop) })
+	l.tasks.Wait()
+}
--- a/internal/stand/rig/rig.go
+++ b/internal/stand/rig/rig.go
@@ -359,6 +359,9 @@
 	return addr
 }
 
+// Cleanup calls f at the end of the test, before the processes are stopped.
+func (r *Rig) Cleanup(f func()) { r.tb.Cleanup(f) }
+
 // Fatalf ends the test as failed.
 func (r *Rig) Fatalf(format string, args ...any) {
 	r.tb.Helper()
