--- a/internal/stand/bench/bench.go
+++ b/internal/stand/bench/bench.go
@@ -12,14 +12,14 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/bramleycove/bramleycove/internal/stand/load"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 // run is one run of a scenario.
 type run struct {
 	Settings
-	rig      *rig.Rig
-	plan     rig.Plan
+	system   *system.System
+	plan     system.Plan
 	mu       sync.Mutex
 	line     map[string][]int // answers in each second of arrival, by kind
 	refused  []int            // refused attempts in each second of their end
@@ -37,7 +37,7 @@
 	}
 	r := &run{Settings: s, plan: s.plan(t), line: make(map[string][]int)}
 	r.refused = make([]int, int(s.Duration.Seconds())+60)
-	r.rig = s.start(tb, r.plan, routes)
+	r.system = s.start(tb, r.plan, routes)
 	received, place := r.received(), r.moves()
 	var event conc.WaitGroup
 	r.begin = time.Now()
@@ -66,7 +66,7 @@
 		Factor: r.Factor, Shift: time.Hour, Tries: r.Tries, Again: time.Second, Open: 20000, Seed: r.Seed, Seen: r.seen,
 	}
 	for _, in := range r.plan.Instances {
-		s.Instances = append(s.Instances, r.rig.Caller(in.Name))
+		s.Instances = append(s.Instances, r.system.Caller(in.Name))
 	}
 	if r.Scenario == "hot-key" {
 		s.Shift = r.Duration / 3
@@ -95,12 +95,12 @@
 	time.Sleep(r.Duration / 3)
 	names := r.victims()
 	for _, name := range names {
-		st := r.rig.ServerStatus(name)
+		st := r.system.ServerStatus(name)
 		r.lost += st.Committed + st.Refused
 	}
-	r.rig.Kill(names...)
+	r.system.Kill(names...)
 	if r.Scenario == "cold" {
-		r.rig.Start(names...)
+		r.system.Start(names...)
 	}
 }
 
@@ -120,8 +120,8 @@
 // received returns the requests that the running servers have received.
 func (r *run) received() (n int64) {
 	for _, s := range r.plan.Servers {
-		if r.rig.Running(s.Name) {
-			st := r.rig.ServerStatus(s.Name)
+		if r.system.Running(s.Name) {
+			st := r.system.ServerStatus(s.Name)
 			n += st.Committed + st.Refused
 		}
 	}
@@ -129,7 +129,7 @@
 }
 
 // moves returns the number of records of the stream of placements.
-func (r *run) moves() uint64 { return r.rig.LogCounts().Streams["place"][1] }
+func (r *run) moves() uint64 { return r.system.LogCounts().Streams["place"][1] }
 
 // sample reads the number of placements each second until the run is over.
 func (r *run) sample(g *conc.WaitGroup) *[]uint64 {
--- a/internal/stand/bench/plan.go
+++ b/internal/stand/bench/plan.go
@@ -12,7 +12,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/stand/load"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 // Settings of a run, which are its flags.
@@ -56,21 +56,21 @@
 }
 
 // plan scales an example down to one data centre.
-func (s *Settings) plan(t *tables.Tables) rig.Plan {
+func (s *Settings) plan(t *tables.Tables) system.Plan {
 	region := t.Regions[0]
 	dc := region.DCs[0]
-	p := rig.Plan{Regions: []rig.Region{{Name: region.Name, DCs: []string{dc}}}}
+	p := system.Plan{Regions: []system.Region{{Name: region.Name, DCs: []string{dc}}}}
 	for i := range max(2, int(math.Round(s.Scale*float64(s.Instances)))) {
-		p.Instances = append(p.Instances, rig.Instance{Name: fmt.Sprintf("i%d", i+1), DC: dc, Region: region.Name})
+		p.Instances = append(p.Instances, system.Instance{Name: fmt.Sprintf("i%d", i+1), DC: dc, Region: region.Name})
 	}
 	args := []string{"--service", s.Service.String(), "--jitter", (s.Service / 4).String()}
 	if s.Scenario == "cold" {
 		args = append(args, "--cold", cold.String())
 	}
 	for _, pool := range t.Pools {
-		p.Pools = append(p.Pools, rig.Pool{Name: pool.Name, Keyed: pool.Keyed, Slots: slots})
+		p.Pools = append(p.Pools, system.Pool{Name: pool.Name, Keyed: pool.Keyed, Slots: slots})
 		for _, sv := range pool.Servers[:s.servers(len(pool.Servers))] {
-			p.Servers = append(p.Servers, rig.Server{
+			p.Servers = append(p.Servers, system.Server{
 				Name: sv.Name, Pool: pool.Name, DC: dc, Checks: sv.Checks, Slots: sv.Slots, Connections: sv.Connections, Args: args,
 			})
 		}
@@ -81,9 +81,9 @@
 func (s *Settings) servers(n int) int { return max(1, int(math.Ceil(s.Scale*float64(n)-1e-9))) }
 
 // start runs the system and waits until each kind of work is served through each instance.
-func (s *Settings) start(tb testing.TB, p rig.Plan, routes string) *rig.Rig {
+func (s *Settings) start(tb testing.TB, p system.Plan, routes string) *system.System {
 	tb.Helper()
-	r := rig.New(tb, p)
+	r := system.New(tb, p)
 	for _, in := range p.Instances {
 		r.Start(in.Name)
 	}
@@ -93,7 +93,7 @@
 			for key := range s.probes(i, k) {
 				path := fmt.Sprint(k.Path, key)
 				r.Await(path+" is served through "+in.Name, patience, func() bool {
-					return r.Call(in.Name, rig.Call{Path: path}).Status == 200
+					return r.Call(in.Name, system.Call{Path: path}).Status == 200
 				})
 			}
 		}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 // Size is what each data centre of a plan has.
@@ -26,25 +26,25 @@
 
 // Plan returns a system with data centres "dk-east-1" to "dk-east-n" in one region. Instances are named i1, i2 and so
 // on over all data centres, servers s1, s2, ... (stock) and c1, c2, ... (cut).
-func Plan(dcs int, size Size) rig.Plan {
-	p := rig.Plan{
-		Regions: []rig.Region{{Name: "dk-east"}},
-		Pools:   []rig.Pool{{Name: "stock", Keyed: true, Slots: Slots}, {Name: "cut"}},
+func Plan(dcs int, size Size) system.Plan {
+	p := system.Plan{
+		Regions: []system.Region{{Name: "dk-east"}},
+		Pools:   []system.Pool{{Name: "stock", Keyed: true, Slots: Slots}, {Name: "cut"}},
 	}
 	for d := range dcs {
 		dc := fmt.Sprintf("dk-east-%d", d+1)
 		p.Regions[0].DCs = append(p.Regions[0].DCs, dc)
 		for i := range size.Instances {
 			name := fmt.Sprintf("i%d", d*size.Instances+i+1)
-			p.Instances = append(p.Instances, rig.Instance{Name: name, DC: dc, Region: "dk-east"})
+			p.Instances = append(p.Instances, system.Instance{Name: name, DC: dc, Region: "dk-east"})
 		}
 		for i := range size.Stock {
 			name := fmt.Sprintf("s%d", d*size.Stock+i+1)
-			p.Servers = append(p.Servers, rig.Server{Name: name, Pool: "stock", DC: dc, Checks: true, Args: size.Args})
+			p.Servers = append(p.Servers, system.Server{Name: name, Pool: "stock", DC: dc, Checks: true, Args: size.Args})
 		}
 		for i := range size.Cut {
 			name := fmt.Sprintf("c%d", d*size.Cut+i+1)
-			p.Servers = append(p.Servers, rig.Server{Name: name, Pool: "cut", DC: dc, Args: size.Args})
+			p.Servers = append(p.Servers, system.Server{Name: name, Pool: "cut", DC: dc, Args: size.Args})
 		}
 	}
 	return p
@@ -68,25 +68,25 @@
 }`
 
 // Lookup is a request for a key.
-func Lookup(key int) rig.Call { return rig.Call{Path: fmt.Sprintf("/stock/k%d", key)} }
+func Lookup(key int) system.Call { return system.Call{Path: fmt.Sprintf("/stock/k%d", key)} }
 
 // Order is a request that must not run twice.
-func Order(id string) rig.Call {
-	return rig.Call{
+func Order(id string) system.Call {
+	return system.Call{
 		Method: "POST", Path: "/orders", Body: "order " + id, Identity: id, Headers: map[string]string{"X-Order-Id": id},
 	}
 }
 
 // Note is a request that may be repeated by its caller, and is new work each time.
-func Note(body string) rig.Call { return rig.Call{Method: "POST", Path: "/notes", Body: body} }
+func Note(body string) system.Call { return system.Call{Method: "POST", Path: "/notes", Body: body} }
 
 // Patience bounds waits for states that a healthy system reaches within a few seconds. It is no target.
 const Patience = 60 * time.Second
 
 // Up starts the system, publishes the tables and waits until each instance is ready and each slot is served.
-func Up(tb testing.TB, p rig.Plan) *rig.Rig {
+func Up(tb testing.TB, p system.Plan) *system.System {
 	tb.Helper()
-	r := rig.New(tb, p)
+	r := system.New(tb, p)
 	for _, in := range p.Instances {
 		r.Start(in.Name)
 	}
@@ -119,7 +119,7 @@
 // Settled waits until the term of each data centre names all its instances and checking servers as witnesses. A
 // controller that was elected while others still started renews its term some seconds later; until then the term has
 // few witnesses and perhaps no successor, and does not survive the losses that a test is about.
-func Settled(r *rig.Rig) {
+func Settled(r *system.System) {
 	for _, region := range r.Plan.Regions {
 		for _, dc := range region.DCs {
 			want := 0
@@ -139,10 +139,10 @@
 }
 
 // Served waits until a lookup of a key of each slot has succeeded through an instance.
-func Served(r *rig.Rig, instance string) { ServedKeys(r, instance, Keys()) }
+func Served(r *system.System, instance string) { ServedKeys(r, instance, Keys()) }
 
 // ServedKeys waits until a lookup of each key has succeeded through an instance.
-func ServedKeys(r *rig.Rig, instance string, keys []int) {
+func ServedKeys(r *system.System, instance string, keys []int) {
 	var wg conc.WaitGroup
 	var served atomic.Int64
 	end := time.Now().Add(Patience)
@@ -166,7 +166,7 @@
 }
 
 // Homed returns the keys of Keys whose slot is served in a data centre, as an instance explains it.
-func Homed(r *rig.Rig, instance, dc string) []int {
+func Homed(r *system.System, instance, dc string) []int {
 	var out []int
 	for _, key := range Keys() {
 		if e, err := r.Explain(instance, Lookup(key).Path, fmt.Sprint("k", key)); err == nil && e.Home == dc {
--- a/internal/stand/fleet/load.go
+++ b/internal/stand/fleet/load.go
@@ -8,7 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 // Load is a background load on a system: callers that send one request after the other.
@@ -19,7 +19,7 @@
 	sent  atomic.Int64
 
 	mu      sync.Mutex
-	answers []rig.Answer
+	answers []system.Answer
 }
 
 // pace is the number of calls a second of a load. It is far below what a small system can serve, so that tests that
@@ -27,7 +27,7 @@
 const pace = 300
 
 // Start starts callers. Each sends the calls that next returns for growing numbers, to the instances in turn.
-func Start(r *rig.Rig, callers int, instances []string, next func(n int) rig.Call) *Load {
+func Start(r *system.System, callers int, instances []string, next func(n int) system.Call) *Load {
 	l := &Load{stop: make(chan struct{})}
 	limit := rate.NewLimiter(pace, callers)
 	for range callers {
@@ -52,7 +52,7 @@
 }
 
 // Count returns the number of answers so far for which match returns true.
-func (l *Load) Count(match func(rig.Answer) bool) int {
+func (l *Load) Count(match func(system.Answer) bool) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
@@ -65,10 +65,10 @@
 }
 
 // Ran matches the calls that received their answer.
-func Ran(a rig.Answer) bool { return a.Err == nil && a.Verdict == "ran" }
+func Ran(a system.Answer) bool { return a.Err == nil && a.Verdict == "ran" }
 
 // Stop ends the callers after their current call, and returns all answers.
-func (l *Load) Stop() []rig.Answer {
+func (l *Load) Stop() []system.Answer {
 	l.end()
 	return l.answers
 }
--- a/internal/stand/proc/build.go
+++ b/internal/stand/proc/build.go
@@ -26,7 +26,7 @@
 // Build compiles both programs once per test process. The daemon gets the race detector if the test has it.
 func Build() (Programs, error) {
 	buildOnce.Do(func() {
-		builtDir, buildError = os.MkdirTemp("", "bramleycove-rig-")
+		builtDir, buildError = os.MkdirTemp("", "bramleycove-system-")
 		if buildError != nil {
 			return
 		}
--- a/internal/stand/rig/call.go
+++ b/internal/stand/system/call.go
@@ -1,4 +1,4 @@
-package rig
+package system
 
 import (
 	"fmt"
@@ -38,7 +38,7 @@
 
 // Call sends a request to the caller listener of an instance on a connection of its own, and journals it for the
 // judge. It may be used by many goroutines.
-func (r *Rig) Call(instance string, c Call) Answer {
+func (r *System) Call(instance string, c Call) Answer {
 	a := Answer{Mark: fmt.Sprintf("m%06d", r.marks.Add(1))}
 	addr, err := r.procs[instance].Address("caller")
 	if err != nil {
--- a/internal/stand/rig/control.go
+++ b/internal/stand/system/control.go
@@ -1,4 +1,4 @@
-package rig
+package system
 
 import (
 	"fmt"
@@ -30,7 +30,7 @@
 }
 
 // Post sends a command to the control listener of a stand-in. Out, if not nil, receives the answer.
-func (r *Rig) Post(name string, command, out any) error {
+func (r *System) Post(name string, command, out any) error {
 	body, err := json.Marshal(command)
 	if err != nil {
 		return err
@@ -38,7 +38,7 @@
 	return r.exchange(name, "control", "/control", fasthttp.MethodPost, body, out)
 }
 
-func (r *Rig) exchange(name, field, path, method string, body []byte, out any) error {
+func (r *System) exchange(name, field, path, method string, body []byte, out any) error {
 	addr, err := r.procs[name].Address(field)
 	if err != nil {
 		return err
@@ -63,32 +63,32 @@
 }
 
 // LogService sends a command to the log.
-func (r *Rig) LogService(cmd logsrv.Command) {
+func (r *System) LogService(cmd logsrv.Command) {
 	r.tb.Helper()
 	r.check(r.Post(Log, cmd, nil))
 }
 
 // LogCounts returns what the log has done.
-func (r *Rig) LogCounts() (c logsrv.Counts) {
+func (r *System) LogCounts() (c logsrv.Counts) {
 	r.tb.Helper()
 	r.check(r.exchange(Log, "control", "/control", fasthttp.MethodGet, nil, &c))
 	return c
 }
 
 // ListService sends a command to the list.
-func (r *Rig) ListService(cmd listsv.Command) {
+func (r *System) ListService(cmd listsv.Command) {
 	r.tb.Helper()
 	r.check(r.Post(List, cmd, nil))
 }
 
 // Server sends a command to a server.
-func (r *Rig) Server(name string, cmd bkend.Command) {
+func (r *System) Server(name string, cmd bkend.Command) {
 	r.tb.Helper()
 	r.check(r.Post(name, cmd, nil))
 }
 
 // ServerStatus returns the state and the counters of a server.
-func (r *Rig) ServerStatus(name string) (s bkend.Status) {
+func (r *System) ServerStatus(name string) (s bkend.Status) {
 	r.tb.Helper()
 	r.check(r.exchange(name, "control", "/control", fasthttp.MethodGet, nil, &s))
 	return s
@@ -106,7 +106,7 @@
 }
 
 // Status returns the state of an instance.
-func (r *Rig) Status(name string) (Status, error) {
+func (r *System) Status(name string) (Status, error) {
 	var s Status
 	return s, r.exchange(name, "admin", "/status", fasthttp.MethodGet, nil, &s)
 }
@@ -121,20 +121,20 @@
 }
 
 // Explain returns where an instance would send a GET of path with the given key.
-func (r *Rig) Explain(name, path, key string) (Explanation, error) {
+func (r *System) Explain(name, path, key string) (Explanation, error) {
 	var e Explanation
 	return e, r.exchange(name, "admin", "/explain?method=GET&path="+path+"&key="+key, fasthttp.MethodGet, nil, &e)
 }
 
 // Caller returns the address of the caller listener of an instance.
-func (r *Rig) Caller(instance string) netip.AddrPort {
+func (r *System) Caller(instance string) netip.AddrPort {
 	r.tb.Helper()
 	return r.Address(instance, "caller")
 }
 
 // Controller returns the instance that says it is the controller of the data centre with the highest term and epoch,
 // or "" if none does.
-func (r *Rig) Controller(dc string) string {
+func (r *System) Controller(dc string) string {
 	best, name := Status{}, ""
 	for _, in := range r.Plan.Instances {
 		if in.DC != dc || !r.Running(in.Name) {
@@ -152,7 +152,7 @@
 var fenceEvent = regexp.MustCompile(`event=fence .*witnesses=(\d+)`)
 
 // Witnesses returns the number of witnesses of the last term that an instance claimed, 0 if none.
-func (r *Rig) Witnesses(name string) int {
+func (r *System) Witnesses(name string) int {
 	if name == "" {
 		return 0
 	}
@@ -165,7 +165,7 @@
 }
 
 // Pools returns the pool table of the plan with the given data centres declared lost.
-func (r *Rig) Pools(lost ...string) string {
+func (r *System) Pools(lost ...string) string {
 	r.tb.Helper()
 	text, err := r.Plan.table(lost, func(name string) netip.AddrPort { return r.Front(name).Address() })
 	r.check(err)
@@ -174,7 +174,7 @@
 
 // TryPublish publishes both tables with the operators' command and returns its exit code and output. More are further
 // arguments.
-func (r *Rig) TryPublish(routes, pools string, more ...string) (int, string) {
+func (r *System) TryPublish(routes, pools string, more ...string) (int, string) {
 	r.tb.Helper()
 	args := []string{"publish", "--settings", r.OperatorSettings()}
 	for _, f := range []struct{ name, text string }{{"routes", routes}, {"pools", pools}} {
@@ -186,7 +186,7 @@
 }
 
 // Operate runs a command of operators and returns its exit code and output.
-func (r *Rig) Operate(args ...string) (int, string) {
+func (r *System) Operate(args ...string) (int, string) {
 	r.tb.Helper()
 	cmd := exec.Command(r.bin.Daemon, args...)
 	out, err := cmd.CombinedOutput()
@@ -197,10 +197,10 @@
 }
 
 // OperatorSettings returns the path of the settings file for commands of operators.
-func (r *Rig) OperatorSettings() string { return filepath.Join(r.dir, operator+".settings") }
+func (r *System) OperatorSettings() string { return filepath.Join(r.dir, operator+".settings") }
 
 // Output returns what a process has printed, in all its lives.
-func (r *Rig) Output(name string) string {
+func (r *System) Output(name string) string {
 	r.tb.Helper()
 	data, err := os.ReadFile(r.procs[name].Log)
 	r.check(err)
@@ -208,7 +208,7 @@
 }
 
 // Publish publishes routes and the pool table of the plan, and fails the test if they are not in force.
-func (r *Rig) Publish(routes string) {
+func (r *System) Publish(routes string) {
 	r.tb.Helper()
 	if code, out := r.TryPublish(routes, r.Pools()); code != 0 {
 		r.tb.Fatalf("publish: exit code %d\n%s", code, out)
--- a/internal/stand/rig/plan.go
+++ b/internal/stand/system/plan.go
@@ -1,4 +1,4 @@
-package rig
+package system
 
 import (
 	"fmt"
--- a/internal/stand/rig/report.go
+++ b/internal/stand/system/report.go
@@ -1,4 +1,4 @@
-package rig
+package system
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 )
 
 // report fails the test if a process reported a data race, and shows all logs if the test failed.
-func (r *Rig) report() {
+func (r *System) report() {
 	for _, name := range slices.Sorted(maps.Keys(r.procs)) {
 		data, err := os.ReadFile(r.procs[name].Log)
 		if err == nil && bytes.Contains(data, []byte("WARNING: DATA RACE")) {
@@ -26,7 +26,7 @@
 }
 
 // Record reads the journals written so far.
-func (r *Rig) Record() *judge.Record {
+func (r *System) Record() *judge.Record {
 	r.tb.Helper()
 	// Calls come first: an execution is journalled before its answer, so each answer read finds its execution.
 	paths := []string{r.callLog}
@@ -39,7 +39,7 @@
 }
 
 // Judge fails the test for each violation in the journals, and returns what the journals hold.
-func (r *Rig) Judge() judge.Counts {
+func (r *System) Judge() judge.Counts {
 	r.tb.Helper()
 	rec := r.Record()
 	for _, v := range rec.All() {
--- a/internal/stand/rig/rig.go
+++ b/internal/stand/system/system.go
@@ -1,6 +1,6 @@
-// Package rig runs the system as processes on loopback for integration tests: stand-ins of the platform, backend
+// Package system runs the system as processes on loopback for integration tests: stand-ins of the platform, backend
 // servers and instances, with the fault proxy between any two of them.
-package rig
+package system
 
 import (
 	"maps"
@@ -26,16 +26,16 @@
 
 // The names of the platform's services in Link, Front, Freeze and the like.
 const (
-	Log  = "log"
+	Log  = "log" // the log service
 	List = "list"
 )
 
 // operator is the name under which publish commands run.
 const operator = "operator"
 
-// Rig is one running system. Its methods end the test on failure and must be called by the test's goroutine, except
+// System is one running system. Its methods end the test on failure and must be called by the test's goroutine, except
 // for Call, Post and Status.
-type Rig struct {
+type System struct {
 	Plan Plan
 
 	tb      testing.TB
@@ -56,13 +56,13 @@
 
 // New starts the log, the list and the servers of the plan. Instances are started by Start. Everything ends with the
 // test.
-func New(tb testing.TB, plan Plan) *Rig {
+func New(tb testing.TB, plan Plan) *System {
 	tb.Helper()
 	bin, err := proc.Build()
 	if err != nil {
 		tb.Fatal(err)
 	}
-	r := &Rig{
+	r := &System{
 		Plan: plan, tb: tb, dir: tb.TempDir(), bin: bin, procs: map[string]*proc.Process{}, ports: map[string]*hold.Port{},
 		links: map[link]*proxy.Proxy{}, client: newClient(), direct: newClient(),
 	}
@@ -83,21 +83,21 @@
 	return r
 }
 
-func (r *Rig) check(err error) {
+func (r *System) check(err error) {
 	r.tb.Helper()
 	if err != nil {
 		r.tb.Fatal(err)
 	}
 }
 
-func (r *Rig) dc() string {
+func (r *System) dc() string {
 	if len(r.Plan.Instances) > 0 {
 		return r.Plan.Instances[0].DC
 	}
 	return "dk-east-1"
 }
 
-func (r *Rig) region() string {
+func (r *System) region() string {
 	if len(r.Plan.Instances) > 0 {
 		return r.Plan.Instances[0].Region
 	}
@@ -105,7 +105,7 @@
 }
 
 // connect makes all proxies. They refuse connections until their target listens.
-func (r *Rig) connect() {
+func (r *System) connect() {
 	var pairs []link
 	for _, s := range r.Plan.Servers {
 		pairs = append(pairs, link{"", s.Name})
@@ -132,13 +132,13 @@
 	}
 }
 
-func (r *Rig) add(name, path string, args ...string) *proc.Process {
+func (r *System) add(name, path string, args ...string) *proc.Process {
 	p := &proc.Process{Name: name, Path: path, Args: args, Log: filepath.Join(r.dir, name+".log")}
 	r.procs[name] = p
 	return p
 }
 
-func (r *Rig) standin(name, command string, args []string) {
+func (r *System) standin(name, command string, args []string) {
 	r.tb.Helper()
 	port, err := hold.Reserve(netip.MustParseAddrPort("127.0.0.1:0"))
 	r.check(err)
@@ -147,7 +147,7 @@
 	r.Start(name)
 }
 
-func (r *Rig) server(s Server) {
+func (r *System) server(s Server) {
 	r.tb.Helper()
 	s.defaults()
 	pool, err := r.Plan.pool(s.Pool)
@@ -166,15 +166,15 @@
 	r.standin(s.Name, "server", append(args, s.Args...))
 }
 
-func (r *Rig) journal(server string) string { return filepath.Join(r.dir, server+".jsonl") }
+func (r *System) journal(server string) string { return filepath.Join(r.dir, server+".jsonl") }
 
-func (r *Rig) instance(in Instance) {
+func (r *System) instance(in Instance) {
 	r.tb.Helper()
 	r.add(in.Name, r.bin.Daemon, "serve", "--settings", r.settings(in))
 }
 
 // settings writes the settings file of an instance and returns its path.
-func (r *Rig) settings(in Instance) string {
+func (r *System) settings(in Instance) string {
 	r.tb.Helper()
 	const any0 = "127.0.0.1:0"
 	set := map[string]any{
@@ -209,19 +209,19 @@
 }
 
 // Link returns the proxy that only from uses to reach to.
-func (r *Rig) Link(from, to string) *proxy.Proxy {
+func (r *System) Link(from, to string) *proxy.Proxy {
 	r.tb.Helper()
 	return r.find(link{from, to})
 }
 
 // Front returns the proxy by which everybody reaches a server, or the peer listener of an instance. With Pairs, the
 // proxy of each pair is before it.
-func (r *Rig) Front(to string) *proxy.Proxy {
+func (r *System) Front(to string) *proxy.Proxy {
 	r.tb.Helper()
 	return r.find(link{"", to})
 }
 
-func (r *Rig) find(l link) *proxy.Proxy {
+func (r *System) find(l link) *proxy.Proxy {
 	r.tb.Helper()
 	p := r.links[l]
 	if p == nil {
@@ -232,7 +232,7 @@
 
 // Between returns the proxies of both directions between two groups of instances, so that a test can part data
 // centres. It needs Pairs.
-func (r *Rig) Between(a, b []string) []*proxy.Proxy {
+func (r *System) Between(a, b []string) []*proxy.Proxy {
 	r.tb.Helper()
 	var out []*proxy.Proxy
 	for _, x := range a {
@@ -245,7 +245,7 @@
 
 // Start starts processes, also again after their end, and waits until they listen. Instances and servers enter the
 // list.
-func (r *Rig) Start(names ...string) {
+func (r *System) Start(names ...string) {
 	r.tb.Helper()
 	for _, name := range names {
 		r.check(r.TryStart(name))
@@ -253,7 +253,7 @@
 }
 
 // TryStart is Start for one process that may fail to start.
-func (r *Rig) TryStart(name string) error {
+func (r *System) TryStart(name string) error {
 	p := r.procs[name]
 	if err := p.Start(); err != nil {
 		return err
@@ -279,7 +279,7 @@
 }
 
 // aim directs the proxies of a process to where it listens now.
-func (r *Rig) aim(name string, target netip.AddrPort) error {
+func (r *System) aim(name string, target netip.AddrPort) error {
 	for l, p := range r.links {
 		if l.to != name {
 			continue
@@ -295,18 +295,18 @@
 	return nil
 }
 
-func (r *Rig) isInstance(name string) bool {
+func (r *System) isInstance(name string) bool {
 	return slices.ContainsFunc(r.Plan.Instances, func(in Instance) bool { return in.Name == name })
 }
 
 // Freeze stops processes with SIGSTOP. Their connections stay open.
-func (r *Rig) Freeze(names ...string) { r.tb.Helper(); r.signal(syscall.SIGSTOP, names) }
+func (r *System) Freeze(names ...string) { r.tb.Helper(); r.signal(syscall.SIGSTOP, names) }
 
 // Thaw ends Freeze.
-func (r *Rig) Thaw(names ...string) { r.tb.Helper(); r.signal(syscall.SIGCONT, names) }
+func (r *System) Thaw(names ...string) { r.tb.Helper(); r.signal(syscall.SIGCONT, names) }
 
 // Kill ends processes with SIGKILL. Connections to them are refused from then on.
-func (r *Rig) Kill(names ...string) {
+func (r *System) Kill(names ...string) {
 	r.tb.Helper()
 	r.signal(syscall.SIGKILL, names)
 	for _, name := range names {
@@ -317,7 +317,7 @@
 }
 
 // Stop tells a process to end with SIGTERM, waits for that, and returns the exit code.
-func (r *Rig) Stop(name string, within time.Duration) int {
+func (r *System) Stop(name string, within time.Duration) int {
 	r.tb.Helper()
 	r.signal(syscall.SIGTERM, []string{name})
 	code, err := r.procs[name].Wait(within)
@@ -327,15 +327,15 @@
 }
 
 // Terminate tells processes to end with SIGTERM and does not wait.
-func (r *Rig) Terminate(names ...string) { r.tb.Helper(); r.signal(syscall.SIGTERM, names) }
+func (r *System) Terminate(names ...string) { r.tb.Helper(); r.signal(syscall.SIGTERM, names) }
 
 // Pid returns the id of a process, to read what it uses.
-func (r *Rig) Pid(name string) int { return r.procs[name].Pid() }
+func (r *System) Pid(name string) int { return r.procs[name].Pid() }
 
 // Running tells whether a process has not ended.
-func (r *Rig) Running(name string) bool { return r.procs[name].Running() }
+func (r *System) Running(name string) bool { return r.procs[name].Running() }
 
-func (r *Rig) signal(sig syscall.Signal, names []string) {
+func (r *System) signal(sig syscall.Signal, names []string) {
 	r.tb.Helper()
 	for _, name := range names {
 		r.check(r.procs[name].Signal(sig))
@@ -343,7 +343,7 @@
 }
 
 // refuse makes the proxies of an ended process refuse connections, as its machine would.
-func (r *Rig) refuse(name string) {
+func (r *System) refuse(name string) {
 	for l, p := range r.links {
 		if l.to == name {
 			r.check(p.Refuse(true))
@@ -352,7 +352,7 @@
 }
 
 // Address returns an address that a process printed when it began to listen.
-func (r *Rig) Address(name, field string) netip.AddrPort {
+func (r *System) Address(name, field string) netip.AddrPort {
 	r.tb.Helper()
 	addr, err := r.procs[name].Address(field)
 	r.check(err)
@@ -360,16 +360,16 @@
 }
 
 // Cleanup calls f at the end of the test, before the processes are stopped.
-func (r *Rig) Cleanup(f func()) { r.tb.Cleanup(f) }
+func (r *System) Cleanup(f func()) { r.tb.Cleanup(f) }
 
 // Fatalf ends the test as failed.
-func (r *Rig) Fatalf(format string, args ...any) {
+func (r *System) Fatalf(format string, args ...any) {
 	r.tb.Helper()
 	r.tb.Fatalf(format, args...)
 }
 
 // Await polls until done returns true, and fails the test after the given time.
-func (r *Rig) Await(what string, within time.Duration, done func() bool) {
+func (r *System) Await(what string, within time.Duration, done func() bool) {
 	r.tb.Helper()
 	const interval = 10 * time.Millisecond
 	for end := time.Now().Add(within); !done(); time.Sleep(interval) {
@@ -380,7 +380,7 @@
 }
 
 // end kills all processes, shows their logs if the test failed, and checks them for data races.
-func (r *Rig) end() {
+func (r *System) end() {
 	for _, p := range r.procs {
 		if p.Running() {
 			_ = p.Signal(syscall.SIGKILL)
--- a/internal/stand/rig/rig_test.go
+++ b/internal/stand/system/system_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package system_test
 
 import (
 	"errors"
@@ -15,25 +15,25 @@
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 	"github.com/valyala/fasthttp"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
 
-func plan() rig.Plan {
-	return rig.Plan{
-		Regions:   []rig.Region{{Name: "dk-east", DCs: []string{"dk-east-1"}}},
-		Instances: []rig.Instance{{Name: "i1", DC: "dk-east-1", Region: "dk-east"}},
-		Pools:     []rig.Pool{{Name: "stock", Keyed: true, Slots: 16}, {Name: "cut"}},
-		Servers: []rig.Server{
+func plan() system.Plan {
+	return system.Plan{
+		Regions:   []system.Region{{Name: "dk-east", DCs: []string{"dk-east-1"}}},
+		Instances: []system.Instance{{Name: "i1", DC: "dk-east-1", Region: "dk-east"}},
+		Pools:     []system.Pool{{Name: "stock", Keyed: true, Slots: 16}, {Name: "cut"}},
+		Servers: []system.Server{
 			{Name: "s1", Pool: "stock", DC: "dk-east-1", Checks: true},
 			{Name: "c1", Pool: "cut", DC: "dk-east-1", Args: []string{"--grace", "10ms", "--linger", "10ms"}},
 		},
 	}
 }
 
-func get(r *rig.Rig, server string, timeout time.Duration) error {
+func get(r *system.System, server string, timeout time.Duration) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("http://" + r.Front(server).Address().String() + "/x")
 	req.SetConnectionClose()
@@ -42,12 +42,12 @@
 
 // Guards against a platform that instances cannot reach through their proxies, and controls that do nothing.
 func TestPlatform(t *testing.T) {
-	r := rig.New(t, plan())
-	list, err := roster.New(r.Link("i1", rig.List).Address()).Fetch(t.Context())
+	r := system.New(t, plan())
+	list, err := roster.New(r.Link("i1", system.List).Address()).Fetch(t.Context())
 	if err != nil || len(list.Servers) != 2 || list.Servers[1].Address != r.Front("s1").Address() {
 		t.Fatalf("%+v, %v", list, err)
 	}
-	log := logsvc.New(r.Link("i1", rig.Log).Address())
+	log := logsvc.New(r.Link("i1", system.Log).Address())
 	if n, err := log.Append(t.Context(), "config", nil); n != 1 || err != nil {
 		t.Fatalf("offset %d, %v", n, err)
 	}
@@ -56,8 +56,8 @@
 		t.Error("appended while down")
 	}
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Up}})
-	r.Link("i1", rig.Log).Cut()
-	if n, err := logsvc.New(r.Link("operator", rig.Log).Address()).Append(t.Context(), "config", nil); n != 2 || err != nil {
+	r.Link("i1", system.Log).Cut()
+	if n, err := logsvc.New(r.Link("operator", system.Log).Address()).Append(t.Context(), "config", nil); n != 2 || err != nil {
 		t.Errorf("another link was cut too: %d, %v", n, err)
 	}
 	if pools := r.Pools("sc-1"); !strings.Contains(pools, r.Front("c1").Address().String()) || !strings.Contains(pools, `"sc-1"`) {
@@ -67,7 +67,7 @@
 
 // Guards against frozen, killed and stopped processes that differ from what a test of failures relies on.
 func TestProcesses(t *testing.T) {
-	r := rig.New(t, plan())
+	r := system.New(t, plan())
 	if err := get(r, "c1", 5*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -99,7 +99,7 @@
 func TestStartFails(t *testing.T) {
 	p := plan()
 	p.Settings = map[string]any{"dc": 5}
-	err := rig.New(t, p).TryStart("i1")
+	err := system.New(t, p).TryStart("i1")
 	if err == nil || !strings.Contains(err.Error(), "i1 ended before it listened") {
 		t.Errorf("error %v", err)
 	}
--- a/test/answer/answer_test.go
+++ b/test/answer/answer_test.go
@@ -7,7 +7,7 @@
 	"github.com/bramleycove/bramleycove/internal/stand/bkend"
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -36,7 +36,7 @@
 func TestBrokenConnections(t *testing.T) {
 	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 3, Stock: 2, Cut: 2}))
-	l := fleet.Start(r, 8, []string{"i1", "i2", "i3"}, func(n int) rig.Call {
+	l := fleet.Start(r, 8, []string{"i1", "i2", "i3"}, func(n int) system.Call {
 		if n%2 == 0 {
 			return fleet.Note("note")
 		}
--- a/test/bench/daemon_test.go
+++ b/test/bench/daemon_test.go
@@ -14,7 +14,7 @@
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
 	"github.com/bramleycove/bramleycove/internal/stand/proxy"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -38,7 +38,7 @@
 	}
 }
 
-func watch(b *testing.B, plan rig.Plan) {
+func watch(b *testing.B, plan system.Plan) {
 	r := fleet.Up(b, plan)
 	// Heartbeats with news, the first snapshot and the collection of garbage settle first.
 	time.Sleep(window)
@@ -76,7 +76,7 @@
 }
 
 // relayOf returns the instance that reads the log for the others of its data centre, as package daemon chooses it.
-func relayOf(dc string, instances []rig.Instance) string {
+func relayOf(dc string, instances []system.Instance) string {
 	best := instances[0].Name
 	for _, in := range instances {
 		if xxhash.Sum64String(dc+"\x00"+in.Name) > xxhash.Sum64String(dc+"\x00"+best) {
@@ -94,17 +94,17 @@
 	log  int64   // bytes of its calls of log and list
 }
 
-func spend(b *testing.B, r *rig.Rig, name string) (s spent) {
+func spend(b *testing.B, r *system.System, name string) (s spent) {
 	s.time, s.rss = used(b, r.Pid(name))
 	s.peer = passed(r.Front(name))
-	s.log = passed(r.Link(name, rig.Log)) + passed(r.Link(name, rig.List))
+	s.log = passed(r.Link(name, system.Log)) + passed(r.Link(name, system.List))
 	return s
 }
 
 func passed(p *proxy.Proxy) int64 { return p.Bytes(proxy.Out) + p.Bytes(proxy.Back) }
 
 // granted returns the bytes that went between the controller and the servers while there is no load.
-func granted(r *rig.Rig) (n int64) {
+func granted(r *system.System) (n int64) {
 	for _, s := range r.Plan.Servers {
 		n += passed(r.Front(s.Name))
 	}
--- a/test/bench/restart_test.go
+++ b/test/bench/restart_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proxy"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 // BenchmarkRestart kills all instances of a data centre at once and starts as many new ones, one after the other, while
@@ -48,7 +48,7 @@
 		}
 	}
 	r.Kill(names...)
-	log, peers := sent(r, names, rig.Log), answered(r, rest)
+	log, peers := sent(r, names, system.Log), answered(r, rest)
 	begin := time.Now()
 	r.Start(names...)
 	started := time.Since(begin)
@@ -76,12 +76,12 @@
 	b.ReportMetric(cores[len(cores)/2], "%core-median")
 	b.ReportMetric(cores[len(cores)-1], "%core-max")
 	b.ReportMetric(mem[len(mem)-1], "MB-max")
-	b.ReportMetric(float64(sent(r, names, rig.Log)-log)/1e3/float64(n), "kB-log/instance")
+	b.ReportMetric(float64(sent(r, names, system.Log)-log)/1e3/float64(n), "kB-log/instance")
 	b.ReportMetric(float64(answered(r, rest)-peers)/1e3/float64(n), "kB-peers/instance")
 }
 
 // sent returns the bytes that a service has sent to instances.
-func sent(r *rig.Rig, names []string, service string) (n int64) {
+func sent(r *system.System, names []string, service string) (n int64) {
 	for _, name := range names {
 		n += r.Link(name, service).Bytes(proxy.Back)
 	}
@@ -89,7 +89,7 @@
 }
 
 // answered returns the bytes that instances have answered to others.
-func answered(r *rig.Rig, names []string) (n int64) {
+func answered(r *system.System, names []string) (n int64) {
 	for _, name := range names {
 		n += r.Front(name).Bytes(proxy.Back)
 	}
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -16,7 +16,7 @@
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
 	"github.com/bramleycove/bramleycove/internal/stand/proxy"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -51,13 +51,13 @@
 func run(t *testing.T, seed uint64, n int) {
 	p := fleet.Plan(2, fleet.Size{Instances: 3, Stock: 2, Cut: 2, Args: []string{"--crash-body", "poison"}})
 	p.Pairs = true
-	w := &world{T: t, Rig: fleet.Up(t, p), Rand: rand.New(rand.NewPCG(seed, 0)), versions: map[string]uint64{}}
-	fleet.Settled(w.Rig)
+	w := &world{T: t, System: fleet.Up(t, p), Rand: rand.New(rand.NewPCG(seed, 0)), versions: map[string]uint64{}}
+	fleet.Settled(w.System)
 	var all []string
 	for _, in := range p.Instances {
 		all = append(all, in.Name)
 	}
-	l := fleet.Start(w.Rig, 10, all, call)
+	l := fleet.Start(w.System, 10, all, call)
 	for range n {
 		w.step()
 	}
@@ -71,7 +71,7 @@
 		w.Await("the rest of a slow recovery is over", patience, func() bool {
 			return fleet.Ran(w.Call(in, fleet.Lookup(1))) || time.Now().After(end)
 		})
-		fleet.Served(w.Rig, in)
+		fleet.Served(w.System, in)
 	}
 	l.Stop()
 	// After a trim nobody can publish until a controller has written a snapshot.
@@ -86,7 +86,7 @@
 }
 
 // call returns call number n of the load: lookups, orders that are sent three times, and notes.
-func call(n int) rig.Call {
+func call(n int) system.Call {
 	switch n % 4 {
 	case 0:
 		return fleet.Order(fmt.Sprint("o", n/12))
@@ -107,7 +107,7 @@
 // world is the system and what is wrong with it.
 type world struct {
 	*testing.T
-	*rig.Rig
+	*system.System
 	*rand.Rand
 	active   []fault
 	versions map[string]uint64 // configuration in force by process
@@ -209,7 +209,7 @@
 		server, free := w.pick("s1", "s2", "s3", "s4")
 		return w.stop(ok && free, []func(...string){w.Kill, w.Freeze}[w.IntN(2)], name, server)
 	case 5:
-		return w.cut(instances[w.IntN(6)], rig.Log)
+		return w.cut(instances[w.IntN(6)], system.Log)
 	case 6:
 		return w.cut(instances[w.IntN(6)], []string{"s1", "s2", "s3", "s4", "c1", "c3"}[w.IntN(6)])
 	case 7:
@@ -276,7 +276,7 @@
 	log := w.IntN(2) == 0
 	if log {
 		for _, in := range instances[3:] {
-			links = append(links, w.Link(in, rig.Log))
+			links = append(links, w.Link(in, system.Log))
 		}
 	}
 	for _, l := range links {
--- a/test/config/config_test.go
+++ b/test/config/config_test.go
@@ -13,17 +13,17 @@
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
 
-func up(t *testing.T) *rig.Rig {
+func up(t *testing.T) *system.System {
 	t.Helper()
 	return fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 3, Stock: 1, Cut: 1}))
 }
 
-func version(t *testing.T, r *rig.Rig, instance string) uint64 {
+func version(t *testing.T, r *system.System, instance string) uint64 {
 	t.Helper()
 	s, err := r.Status(instance)
 	if err != nil {
@@ -84,7 +84,7 @@
 	t.Parallel()
 	r := up(t)
 	base := version(t, r, "i1")
-	r.Link("i3", rig.Log).Cut()
+	r.Link("i3", system.Log).Cut()
 	codes, wg := make([]int, 4), conc.WaitGroup{}
 	for n := range codes {
 		wg.Go(func() {
@@ -106,7 +106,7 @@
 	want := version(t, r, "i1")
 	r.Await("the version of the winner on i3", inForce, func() bool { return version(t, r, "i3") == want })
 	r.LogService(logsrv.Command{Trim: &logsrv.Trim{Stream: "config", Below: r.LogCounts().Streams["config"][1]}})
-	r.Link("i3", rig.Log).Heal()
+	r.Link("i3", system.Log).Heal()
 	for _, in := range r.Plan.Instances {
 		r.Await("the version of the winner on "+in.Name, inForce, func() bool { return version(t, r, in.Name) == want })
 	}
--- a/test/drain/drain_test.go
+++ b/test/drain/drain_test.go
@@ -10,7 +10,7 @@
 	"github.com/bramleycove/bramleycove/internal/stand/bkend"
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -22,7 +22,7 @@
 func TestServerLeaves(t *testing.T) {
 	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 2, Stock: 3, Cut: 2, Args: []string{"--grace", "60s"}}))
-	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) rig.Call { return fleet.Lookup(n % 100) })
+	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) system.Call { return fleet.Lookup(n % 100) })
 	r.Server("s1", bkend.Command{Drain: true})
 	end := time.Now().Add(handover)
 	r.Await("the time for the handover is over", fleet.Patience, func() bool { return time.Now().After(end) })
@@ -47,7 +47,7 @@
 func TestServerStops(t *testing.T) {
 	t.Parallel()
 	r := fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 2, Stock: 3, Cut: 2}))
-	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) rig.Call { return fleet.Lookup(n % 100) })
+	l := fleet.Start(r, 4, []string{"i1", "i2"}, func(n int) system.Call { return fleet.Lookup(n % 100) })
 	if code := r.Stop("s1", fleet.Patience); code != 0 {
 		t.Errorf("server: exit code %d", code)
 	}
@@ -66,7 +66,7 @@
 	p := fleet.Plan(1, fleet.Size{Instances: 3, Stock: 2, Cut: 2})
 	p.Settings = map[string]any{"linger": "500ms"}
 	r := fleet.Up(t, p)
-	l := fleet.Start(r, 6, []string{"i1", "i2", "i3"}, func(n int) rig.Call { return fleet.Lookup(n % 100) })
+	l := fleet.Start(r, 6, []string{"i1", "i2", "i3"}, func(n int) system.Call { return fleet.Lookup(n % 100) })
 	if code := r.Stop("i1", fleet.Patience); code != 0 {
 		t.Errorf("instance: exit code %d", code)
 	}
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -18,7 +18,7 @@
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -42,7 +42,7 @@
 }
 
 // outage calls a key through an instance every interval and returns the longest time between two whole answers.
-func outage(r *rig.Rig, instance string, key int, fault func()) time.Duration {
+func outage(r *system.System, instance string, key int, fault func()) time.Duration {
 	var wg conc.WaitGroup
 	var mu sync.Mutex
 	var served []time.Time
@@ -81,27 +81,27 @@
 	skip(t)
 	for _, tc := range []struct {
 		name      string
-		lose, ret func(r *rig.Rig, server, controller string)
+		lose, ret func(r *system.System, server, controller string)
 	}{
 		{
-			"server killed", func(r *rig.Rig, s, _ string) { r.Kill(s) }, func(r *rig.Rig, s, _ string) { r.Start(s) },
+			"server killed", func(r *system.System, s, _ string) { r.Kill(s) }, func(r *system.System, s, _ string) { r.Start(s) },
 		}, {
-			"server frozen", func(r *rig.Rig, s, _ string) { r.Freeze(s) }, func(r *rig.Rig, s, _ string) { r.Thaw(s) },
+			"server frozen", func(r *system.System, s, _ string) { r.Freeze(s) }, func(r *system.System, s, _ string) { r.Thaw(s) },
 		}, {
 			"planned move",
-			func(r *rig.Rig, s, _ string) { r.Server(s, bkend.Command{Drain: true}) },
-			func(r *rig.Rig, s, _ string) { r.Kill(s); r.Start(s) },
+			func(r *system.System, s, _ string) { r.Server(s, bkend.Command{Drain: true}) },
+			func(r *system.System, s, _ string) { r.Kill(s); r.Start(s) },
 		}, {
-			"server killed while the log is down", func(r *rig.Rig, s, _ string) {
+			"server killed while the log is down", func(r *system.System, s, _ string) {
 				r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Down}})
 				r.Kill(s)
-			}, func(r *rig.Rig, s, _ string) {
+			}, func(r *system.System, s, _ string) {
 				r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Up}})
 				r.Start(s)
 			},
 		}, {
-			"server and controller killed", func(r *rig.Rig, s, c string) { r.Kill(s, c) },
-			func(r *rig.Rig, s, c string) { r.Start(s, c) },
+			"server and controller killed", func(r *system.System, s, c string) { r.Kill(s, c) },
+			func(r *system.System, s, c string) { r.Start(s, c) },
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/test/once/once_test.go
+++ b/test/once/once_test.go
@@ -11,23 +11,23 @@
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
 
-func up(t *testing.T) *rig.Rig {
+func up(t *testing.T) *system.System {
 	t.Helper()
 	return fleet.Up(t, fleet.Plan(1, fleet.Size{Instances: 3, Stock: 1, Cut: 2}))
 }
 
-func (a *attempt) send(r *rig.Rig, instance, id string) {
+func (a *attempt) send(r *system.System, instance, id string) {
 	a.Answer = r.Call(instance, fleet.Order(id))
 	close(a.done)
 }
 
 type attempt struct {
-	rig.Answer
+	system.Answer
 	done chan struct{}
 }
 
@@ -70,7 +70,7 @@
 	t.Parallel()
 	r := up(t)
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Lost, Only: "append", Count: 20}})
-	l := fleet.Start(r, 4, []string{"i1", "i2", "i3"}, func(n int) rig.Call { return fleet.Order(fmt.Sprint("o", n/3)) })
+	l := fleet.Start(r, 4, []string{"i1", "i2", "i3"}, func(n int) system.Call { return fleet.Order(fmt.Sprint("o", n/3)) })
 	r.Await("orders run", fleet.Patience, func() bool { return l.Count(fleet.Ran) > 60 })
 	l.Stop()
 	r.Judge()
--- a/test/owner/owner_test.go
+++ b/test/owner/owner_test.go
@@ -13,19 +13,19 @@
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
 	"github.com/bramleycove/bramleycove/internal/stand/proxy"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
 
 const dc = "dk-east-1"
 
-func lookups(r *rig.Rig, instances ...string) *fleet.Load {
-	return fleet.Start(r, 6, instances, func(n int) rig.Call { return fleet.Lookup(n % 200) })
+func lookups(r *system.System, instances ...string) *fleet.Load {
+	return fleet.Start(r, 6, instances, func(n int) system.Call { return fleet.Lookup(n % 200) })
 }
 
 // settle waits until every key is served through an instance, ends the load, and judges the run.
-func settle(t *testing.T, r *rig.Rig, l *fleet.Load, through string) {
+func settle(t *testing.T, r *system.System, l *fleet.Load, through string) {
 	t.Helper()
 	fleet.Served(r, through)
 	before := l.Count(fleet.Ran)
@@ -41,14 +41,14 @@
 	t.Parallel()
 	for _, tc := range []struct {
 		name      string
-		lose, ret func(*rig.Rig)
+		lose, ret func(*system.System)
 	}{
-		{"killed", func(r *rig.Rig) { r.Kill("s1") }, func(r *rig.Rig) { r.Start("s1") }},
-		{"frozen", func(r *rig.Rig) { r.Freeze("s1") }, func(r *rig.Rig) { r.Thaw("s1") }},
-		{"cut off", func(r *rig.Rig) { r.Front("s1").Cut() }, func(r *rig.Rig) { r.Front("s1").Heal() }},
-		{"does not hear", func(r *rig.Rig) { r.Front("s1").Cut(proxy.Out) }, func(r *rig.Rig) { r.Front("s1").Heal() }},
-		{"is not heard", func(r *rig.Rig) { r.Front("s1").Cut(proxy.Back) }, func(r *rig.Rig) { r.Front("s1").Heal() }},
-		{"address reused at once", func(r *rig.Rig) { r.Kill("s1"); r.Start("s1") }, func(*rig.Rig) {}},
+		{"killed", func(r *system.System) { r.Kill("s1") }, func(r *system.System) { r.Start("s1") }},
+		{"frozen", func(r *system.System) { r.Freeze("s1") }, func(r *system.System) { r.Thaw("s1") }},
+		{"cut off", func(r *system.System) { r.Front("s1").Cut() }, func(r *system.System) { r.Front("s1").Heal() }},
+		{"does not hear", func(r *system.System) { r.Front("s1").Cut(proxy.Out) }, func(r *system.System) { r.Front("s1").Heal() }},
+		{"is not heard", func(r *system.System) { r.Front("s1").Cut(proxy.Back) }, func(r *system.System) { r.Front("s1").Heal() }},
+		{"address reused at once", func(r *system.System) { r.Kill("s1"); r.Start("s1") }, func(*system.System) {}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -110,7 +110,7 @@
 	l := lookups(r, append(east, west...)...)
 	links := r.Between(east, west)
 	for _, in := range west {
-		links = append(links, r.Link(in, rig.Log), r.Link(in, rig.List), r.Link(in, "s1"), r.Link(in, "s2"))
+		links = append(links, r.Link(in, system.Log), r.Link(in, system.List), r.Link(in, "s1"), r.Link(in, "s2"))
 	}
 	for _, in := range east {
 		links = append(links, r.Link(in, "s3"), r.Link(in, "s4"))
@@ -152,9 +152,9 @@
 }
 
 // owners returns the owner and the token of a key of each slot, as an instance explains it.
-func owners(t *testing.T, r *rig.Rig, instance string) map[uint32]rig.Explanation {
+func owners(t *testing.T, r *system.System, instance string) map[uint32]system.Explanation {
 	t.Helper()
-	out := map[uint32]rig.Explanation{}
+	out := map[uint32]system.Explanation{}
 	for _, key := range fleet.Keys() {
 		e, err := r.Explain(instance, fleet.Lookup(key).Path, fmt.Sprint("k", key))
 		if err != nil || e.Owner == "" {
@@ -225,7 +225,7 @@
 	l := lookups(r, "i1", "i2", "i3", "i4", "i5", "i6")
 	links := r.Between([]string{"i1", "i2", "i3"}, []string{"i4", "i5", "i6"})
 	for _, in := range []string{"i4", "i5", "i6"} {
-		links = append(links, r.Link(in, rig.Log), r.Link(in, rig.List))
+		links = append(links, r.Link(in, system.Log), r.Link(in, system.List))
 	}
 	for _, link := range links {
 		link.Cut()
--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -13,14 +13,14 @@
 	"github.com/bramleycove/bramleycove/internal/stand/gate"
 	"github.com/bramleycove/bramleycove/internal/stand/logsrv"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
 
 // session is the transcript of operators and callers.
 type session struct {
-	*rig.Rig
+	*system.System
 	strings.Builder
 }
 
@@ -38,7 +38,7 @@
 	fmt.Fprintf(s, "%s\n%sexit code %d\n\n", title, out, code)
 }
 
-func (s *session) call(why string, c rig.Call) {
+func (s *session) call(why string, c system.Call) {
 	a := s.Call("i1", c)
 	method := c.Method
 	if method == "" {
@@ -70,8 +70,8 @@
 // Guards against changes that nobody intended in what operators, callers and the log of an instance show.
 func TestSession(t *testing.T) {
 	t.Parallel()
-	r := rig.New(t, fleet.Plan(1, fleet.Size{Instances: 1, Stock: 1, Cut: 1}))
-	s := &session{Rig: r}
+	r := system.New(t, fleet.Plan(1, fleet.Size{Instances: 1, Stock: 1, Cut: 1}))
+	s := &session{System: r}
 	r.Start("i1")
 	s.call("before the first tables", fleet.Order("A"))
 	s.publish("unknown pool", strings.Replace(fleet.Routes, `"pool": "stock"`, `"pool": "stok"`, 1))
@@ -84,8 +84,8 @@
 	s.call("a lookup", fleet.Lookup(1))
 	s.call("an order", fleet.Order("A"))
 	s.call("the same order again", fleet.Order("A"))
-	s.call("no such route", rig.Call{Path: "/nowhere"})
-	s.call("an order without its identity", rig.Call{Method: "POST", Path: "/orders"})
+	s.call("no such route", system.Call{Path: "/nowhere"})
+	s.call("an order without its identity", system.Call{Method: "POST", Path: "/orders"})
 	r.LogService(logsrv.Command{Order: gate.Order{Mode: gate.Down}})
 	s.call("a lookup while the log is down", fleet.Lookup(1))
 	s.call("an order while the log is down", fleet.Order("B"))
--- a/test/share/share_test.go
+++ b/test/share/share_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/stand/fleet"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
-	"github.com/bramleycove/bramleycove/internal/stand/rig"
+	"github.com/bramleycove/bramleycove/internal/stand/system"
 )
 
 func TestMain(m *testing.M) { os.Exit(proc.Main(m)) }
@@ -20,7 +20,7 @@
 		p.Servers[i].Connections = limit
 	}
 	r := fleet.Up(t, p)
-	l := fleet.Start(r, 24, []string{"i1"}, func(n int) rig.Call {
+	l := fleet.Start(r, 24, []string{"i1"}, func(n int) system.Call {
 		if n%3 == 0 {
 			return fleet.Note(fmt.Sprint("note ", n))
 		}
@@ -51,10 +51,10 @@
 	p := fleet.Plan(1, fleet.Size{Instances: 2, Stock: 1, Cut: 1, Args: []string{"--service", "10ms"}})
 	r := fleet.Up(t, p)
 	both := []string{"i1", "i2"}
-	order := func(n int) rig.Call { return fleet.Order(fmt.Sprintf("%s-%d", t.Name(), n)) }
-	note := func(n int) rig.Call { return fleet.Note(fmt.Sprint("note ", n)) }
-	for name, kinds := range map[string][2]func(int) rig.Call{
-		"bulk floods": {note, order}, "normal floods": {func(n int) rig.Call { return order(1_000_000 + n) }, note},
+	order := func(n int) system.Call { return fleet.Order(fmt.Sprintf("%s-%d", t.Name(), n)) }
+	note := func(n int) system.Call { return fleet.Note(fmt.Sprint("note ", n)) }
+	for name, kinds := range map[string][2]func(int) system.Call{
+		"bulk floods": {note, order}, "normal floods": {func(n int) system.Call { return order(1_000_000 + n) }, note},
 	} {
 		flood := fleet.Start(r, 64, both, kinds[0])
 		other := fleet.Start(r, 2, both, kinds[1])
