--- a/internal/flow/lanes/job.go
+++ b/internal/flow/lanes/job.go
@@ -90,16 +90,3 @@
 		return limit.Neutral
 	}
 }
-
-// retryable reports whether another try can help after a send that certainly did not run the request.
-func retryable(err error) bool {
-	e := result.From(err)
-	if e.Verdict != result.NotRun {
-		return false
-	}
-	switch e.Reason {
-	case server.ReasonRefused, server.ReasonConnect, server.ReasonLimit:
-		return true
-	}
-	return false
-}
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -11,7 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/bramleycove/bramleycove/internal/flow/retry"
+	"github.com/bramleycove/bramleycove/internal/flow/resend"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
@@ -65,9 +65,7 @@
 	lanes map[string]*lane
 	gone  map[string]*lane // removed by the controller, kept until their requests in progress have ended
 
-	budgets sync.Mutex
-	routes  map[string]*retry.Budget
-	pause   *retry.Pause
+	resend *resend.Resender
 }
 
 // New returns a stage without lanes.
@@ -96,10 +94,9 @@
 	if cfg.Freed == nil {
 		cfg.Freed = func() {}
 	}
-	return &Stage{
-		cfg: cfg, lanes: make(map[string]*lane), gone: make(map[string]*lane),
-		routes: make(map[string]*retry.Budget), pause: retry.NewPause(cfg.Seed),
-	}
+	s := &Stage{cfg: cfg, lanes: make(map[string]*lane), gone: make(map[string]*lane)}
+	s.resend = resend.New(cfg.Seed, s.try)
+	return s
 }
 
 // Update sets the lanes that this instance dispatches until until, a time of the local monotonic clock. A lane that
@@ -233,17 +230,7 @@
 // Do sends req to a server of its lane and returns the whole answer. Errors are *result.Error. It sends again, within
 // the route's budget, only when a server has certainly not run the request. ctx must end at req.Deadline or earlier.
 func (s *Stage) Do(ctx context.Context, req *work.Request) (work.Answer, error) {
-	s.earn(req.Route)
-	for attempt := 1; ; attempt++ {
-		a, err := s.try(ctx, req)
-		if err == nil {
-			return a, nil
-		}
-		wait, ok := s.again(req, err, attempt)
-		if !ok || !sleep(ctx, wait) {
-			return a, err
-		}
-	}
+	return s.resend.Do(ctx, req)
 }
 
 func (s *Stage) try(ctx context.Context, req *work.Request) (work.Answer, error) {
@@ -270,8 +257,6 @@
 // staleRetry is the time to retry after while the views of two instances differ; a heartbeat later they agree.
 const staleRetry = 300 * time.Millisecond
 
-const maxAttempts = 3
-
 // target returns the latency within which an answer of the rank is useful, 0 if it is not bounded.
 func (s *Stage) target(rank int) time.Duration {
 	if all := s.cfg.Ranks(); rank < len(all) {
@@ -279,42 +264,3 @@
 	}
 	return 0
 }
-
-func (s *Stage) earn(route string) {
-	s.budgets.Lock()
-	defer s.budgets.Unlock()
-	s.budget(route).Earn()
-}
-
-func (s *Stage) budget(route string) *retry.Budget {
-	b := s.routes[route]
-	if b == nil {
-		b = new(retry.Budget)
-		s.routes[route] = b
-	}
-	return b
-}
-
-// again reports whether req may be sent once more, and after which wait.
-func (s *Stage) again(req *work.Request, err error, attempt int) (time.Duration, bool) {
-	if !req.Retry || attempt >= maxAttempts || !retryable(err) {
-		return 0, false
-	}
-	s.budgets.Lock()
-	defer s.budgets.Unlock()
-	if !s.budget(req.Route).Take() {
-		return 0, false
-	}
-	return s.pause.Next(attempt), true
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/flow/resend/resend.go
@@ -0,0 +1,97 @@
+// Package resend sends a request again where that is safe: only after a send that has certainly not run it, only if
+// its route permits it, and only within the budget of the route, so that retries cannot multiply the load of an outage.
+package resend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/retry"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/server"
+)
+
+const maxAttempts = 3
+
+// Resender is the filter before the sending of a request. It may be used by many goroutines.
+type Resender struct {
+	try func(ctx context.Context, req *work.Request) (work.Answer, error)
+
+	mu     sync.Mutex
+	routes map[string]*retry.Budget
+	pause  *retry.Pause
+}
+
+// New returns a Resender for try, whose errors are *result.Error. seed is that of the waits before retries.
+func New(seed uint64, try func(ctx context.Context, req *work.Request) (work.Answer, error)) *Resender {
+	return &Resender{try: try, routes: make(map[string]*retry.Budget), pause: retry.NewPause(seed)}
+}
+
+// Do sends req, again if need be, and returns the whole answer or the error of the last try.
+func (r *Resender) Do(ctx context.Context, req *work.Request) (work.Answer, error) {
+	r.earn(req.Route)
+	for attempt := 1; ; attempt++ {
+		a, err := r.try(ctx, req)
+		if err == nil {
+			return a, nil
+		}
+		wait, ok := r.again(req, err, attempt)
+		if !ok || !sleep(ctx, wait) {
+			return a, err
+		}
+	}
+}
+
+func (r *Resender) earn(route string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(route).Earn()
+}
+
+func (r *Resender) budget(route string) *retry.Budget {
+	b := r.routes[route]
+	if b == nil {
+		b = new(retry.Budget)
+		r.routes[route] = b
+	}
+	return b
+}
+
+// again reports whether req may be sent once more, and after which wait.
+func (r *Resender) again(req *work.Request, err error, attempt int) (time.Duration, bool) {
+	if !req.Retry || attempt >= maxAttempts || !retryable(err) {
+		return 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.budget(req.Route).Take() {
+		return 0, false
+	}
+	return r.pause.Next(attempt), true
+}
+
+// retryable reports whether another try can help after a send that certainly did not run the request.
+func retryable(err error) bool {
+	e := result.From(err)
+	if e.Verdict != result.NotRun {
+		return false
+	}
+	switch e.Reason {
+	case server.ReasonRefused, server.ReasonConnect, server.ReasonLimit:
+		return true
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -33,6 +33,10 @@
 	startRatio = 1.2
 	// stopRatio is lower, so that balancing that has started leaves a margin before it starts again.
 	stopRatio = 1.1
+	// idleRatio is the load over the mean below which a server, such as one that has returned, gets slots of servers
+	// above the mean although none of those reaches startRatio. It gets them up to filledRatio.
+	idleRatio   = 0.5
+	filledRatio = 0.8
 	// roundShare is the part of all slots that one round may move for balance: one in roundShare.
 	roundShare = 50
 	// roundEvery is the least time between rounds that balance, so that the churn does not depend on how often the
@@ -55,9 +59,10 @@
 // Planner decides about one pool in one data centre and remembers its recent moves. The zero value is ready for use.
 // It is not safe for concurrent use.
 type Planner struct {
-	active bool      // balancing started at startRatio and has not yet reached stopRatio
-	last   time.Time // round that balanced
-	moved  map[uint32]moved
+	active  bool      // balancing started at startRatio and has not yet reached stopRatio
+	filling bool      // a server below idleRatio has not yet reached filledRatio
+	last    time.Time // round that balanced
+	moved   map[uint32]moved
 }
 
 type moved struct {
@@ -133,6 +138,13 @@
 	if p.active {
 		bound = stopRatio
 	}
+	floor := idleRatio
+	if p.filling {
+		floor = filledRatio
+	}
+	if p.filling = r.idlest() < floor*r.mean; p.filling {
+		bound = 1
+	}
 	bound *= r.mean
 	p.active = false
 	if r.hottest(bound) == nil {
@@ -154,7 +166,9 @@
 		p.remember(now, slot, to.Name)
 		out = append(out, Move{Slot: slot, To: to.Name})
 		p.active, p.last = true, now
-		bound = stopRatio * r.mean
+		if !p.filling {
+			bound = stopRatio * r.mean
+		}
 		left--
 	}
 	return out
--- a/internal/place/plan/round.go
+++ b/internal/place/plan/round.go
@@ -109,6 +109,11 @@
 	return out
 }
 
+// idlest returns the lowest load of a server.
+func (r *round) idlest() float64 {
+	return slices.MinFunc(r.nodes, func(a, b *node) int { return cmp.Compare(a.load(), b.load()) }).load()
+}
+
 func (r *round) sort() {
 	for _, n := range r.nodes {
 		slices.SortFunc(n.slots, func(a, b uint32) int {
--- a/internal/stand/proc/process.go
+++ b/internal/stand/proc/process.go
@@ -127,15 +127,24 @@
 }
 
 // tailSize is the length of the end of a log that is shown when a test fails.
-const tailSize = 16 << 10
+const tailSize = 32 << 10
 
-// Tail returns the end of the process's output.
+// Tail returns the end of the process's output. Refusals of single requests are left out but for the last ones: under
+// load they would push out the decisions that led to them.
 func (p *Process) Tail() []byte {
 	data, err := os.ReadFile(p.Log)
 	if err != nil {
 		return []byte(err.Error())
 	}
-	return data[max(0, len(data)-tailSize):]
+	cut := max(0, len(data)-tailSize/4)
+	var out []byte
+	for line := range bytes.Lines(data[:cut]) {
+		if !bytes.Contains(line, []byte("event=refused")) {
+			out = append(out, line...)
+		}
+	}
+	out = append(out, data[cut:]...)
+	return out[max(0, len(out)-tailSize):]
 }
 
 // watcher copies the output of a process to a file and finds its listening line.
