--- a/internal/place/ctrl/core.go
+++ b/internal/place/ctrl/core.go
@@ -10,6 +10,7 @@
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/beats"
 	"github.com/bramleycove/bramleycove/internal/place/fleet"
+	"github.com/bramleycove/bramleycove/internal/place/flight"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/lanes"
@@ -22,7 +23,7 @@
 
 // Action is something for the driver to do. Exactly one field is set.
 type Action struct {
-	Append *slots.Append // its result goes to Appended
+	Append *flight.Append // its result goes to Appended
 	Fence  *Fence
 	Grant  *fleet.Order // its result goes to Answered
 	Event  *Event
@@ -115,9 +116,9 @@
 	pools map[string]*slots.Pool
 	table *lanes.Table
 	book  beats.Book
-	log   slots.Log
-	term  *slots.Pending // Term append in flight
-	ready *slots.Pending
+	log   flight.Log
+	term  *flight.Pending // Term append in flight
+	ready *flight.Pending
 
 	synced  bool // the fleet knows the tables and the list
 	dirty   bool
--- a/internal/place/ctrl/serve.go
+++ b/internal/place/ctrl/serve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/flight"
 	"github.com/bramleycove/bramleycove/internal/place/lease"
 	"github.com/bramleycove/bramleycove/internal/place/slots"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
@@ -27,9 +28,6 @@
 
 func keys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-// retryEvery is the time between attempts to record Ready.
-const retryEvery = time.Second
-
 // superseded reports whether a later term is in the log. This holder then only renews grants.
 func (c *Core) superseded() bool { return c.cell.Term > c.Pair.Term }
 
@@ -111,7 +109,7 @@
 			return
 		}
 		c.ready = nil
-		c.retry = now.Add(retryEvery)
+		c.retry = now.Add(flight.RetryEvery)
 	}
 	if c.cell.Ready || c.cell.Term != c.Pair.Term || c.renewing || now.Before(c.retry) {
 		return
--- a/internal/place/slots/log.go
+++ b/internal/place/flight/flight.go
@@ -1,4 +1,6 @@
-package slots
+// Package flight tracks a controller's appends to the place stream: what is in flight, what became of it by the fold, and
+// whether the log answers. It reads no clock and sends nothing itself.
+package flight
 
 import (
 	"time"
@@ -9,8 +11,8 @@
 // logWait is how long the controller waits for the log before it moves slots without it.
 const logWait = 500 * time.Millisecond
 
-// retryEvery is the time between appends of one kind while the log does not answer.
-const retryEvery = time.Second
+// RetryEvery is the time between appends of one kind while the log does not answer.
+const RetryEvery = time.Second
 
 // Append asks for a record in the place stream. Its result goes to Log.Appended with the same tag.
 type Append struct {
--- a/internal/place/slots/slots.go
+++ b/internal/place/slots/slots.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/fleet"
+	"github.com/bramleycove/bramleycove/internal/place/flight"
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/homes"
 	"github.com/bramleycove/bramleycove/internal/place/lanes"
@@ -61,7 +62,7 @@
 	load     map[uint32]rate
 	busy     map[string]rate // requests in progress and queued, by server
 	pressed  bool            // slots move by load
-	append   *Pending
+	append   *flight.Pending
 	retry    time.Time
 	balanced time.Time
 	renewed  time.Time // when tokens that a server refused were last replaced
@@ -133,7 +134,7 @@
 	Contact time.Time // when the log itself was last asked successfully
 	Fleet   *fleet.Fleet
 	Lanes   *lanes.Table
-	Log     *Log
+	Log     *flight.Log
 	Frozen  bool // no slot may move now
 	Event   func(name string, fields ...any)
 	Remote  func(dc string) time.Time
@@ -553,7 +554,7 @@
 	}
 	v.append = nil
 	if late {
-		v.retry = c.Now.Add(retryEvery)
+		v.retry = c.Now.Add(flight.RetryEvery)
 	}
 }
 
