--- /dev/null
+++ b/internal/stand/cell/cell.go
@@ -0,0 +1,200 @@
+// Package cell runs the controller of one data centre with members and servers that answer at once, on a made-up clock,
+// to measure what it costs by size.
+package cell
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-json"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/ctrl"
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/place/lease"
+	"github.com/bramleycove/bramleycove/internal/plat/grants"
+	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+	"github.com/bramleycove/bramleycove/internal/wire/record"
+)
+
+// Size is what one data centre has, but for the slots, which are those of the pool. With Scattered, neighbouring slots have different
+// owners, the worst case for the size of grants and lanes; otherwise owners have runs of slots, as after the first
+// assignment.
+type Size struct {
+	Members, Servers, Slots, Hot int
+	Scattered                    bool
+	DCs                          int // data centres with as many servers, which home the slots together; 0 means 1
+}
+
+// Cell is one data centre. It is not safe for concurrent use.
+type Cell struct {
+	core    *ctrl.Core
+	now     time.Time
+	place   fold.Place
+	offset  uint64
+	reqs    []*peerpb.HeartbeatRequest
+	members []roster.Instance
+	hot     int
+
+	Used
+}
+
+// Used is what the controller has used since the start or the last Reset.
+type Used struct {
+	Steps, Beats                      time.Duration // processor time
+	Request, Reply, Full, Grant, Held int           // bytes; Full is the largest reply
+}
+
+// Reset starts to count anew.
+func (c *Cell) Reset() { c.Used = Used{} }
+
+// Addr returns the made-up address of an instance or server.
+func Addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 40, byte(n >> 8), byte(n)}), 8081)
+}
+
+// New returns a data centre whose controller has not started yet.
+func New(s Size) *Cell {
+	c := &Cell{now: time.Unix(1_000_000, 0), hot: s.Hot}
+	pool := tables.Pool{Name: "stock", Keyed: true, Slots: uint32(s.Slots)}
+	for i := range s.Servers {
+		pool.Servers = append(pool.Servers, tables.Server{
+			Name: fmt.Sprintf("server-%03d", i), Address: Addr(1 << 12 * (i + 1) % 65000), DC: "dk-east-1", Slots: 3, Connections: 130, Checks: true,
+		})
+	}
+	regions := []tables.Region{{Name: "dk-east", DCs: []string{"dk-east-1"}}}
+	for d := 1; d < s.DCs; d++ {
+		dc := fmt.Sprintf("dc-%02d", d)
+		regions[0].DCs = append(regions[0].DCs, dc)
+		for i := range s.Servers {
+			pool.Servers = append(pool.Servers, tables.Server{Name: fmt.Sprintf("%s-%03d", dc, i), DC: dc, Slots: 3, Connections: 130, Checks: true})
+		}
+	}
+	var list roster.List
+	for i := range s.Members {
+		list.Instances = append(list.Instances, roster.Instance{Name: fmt.Sprintf("dk-east-1-%02d", i), DC: "dk-east-1", Peer: Addr(i)})
+		c.reqs = append(c.reqs, &peerpb.HeartbeatRequest{
+			Instance: fmt.Sprintf("dk-east-1-%02d/5f3a77c0", i), Dc: "dk-east-1", Peer: Addr(i).String(),
+		})
+	}
+	c.members = list.Instances
+	c.core = ctrl.New(ctrl.Config{ID: c.reqs[0].GetInstance(), DC: "dk-east-1", Peer: Addr(0), Start: c.now})
+	c.core.Tables(&tables.Tables{
+		Pools:   []tables.Pool{pool},
+		Routes:  []tables.Route{{Name: "stock", Path: "/*", Pool: "stock", Timeout: time.Second}},
+		Regions: regions,
+	}, nil)
+	c.core.List(list)
+	if s.Scattered {
+		c.scatter(&pool)
+	}
+	return c
+}
+
+// scatter records assignments of an earlier controller.
+func (c *Cell) scatter(pool *tables.Pool) {
+	a := &record.Assign{Dc: "dk-east-1", Pool: pool.Name, Term: 1, Slots: pool.Slots}
+	for i := range pool.Slots {
+		a.Changes = append(a.Changes, &record.Change{First: i, Last: i, Owner: pool.Servers[int(i)%len(pool.Servers)].Name})
+	}
+	for _, rec := range []*record.Record{
+		{Kind: &record.Record_Term{Term: &record.Term{Dc: "dk-east-1", Holder: "gone/1", Witnesses: []string{c.reqs[0].GetInstance()}}}},
+		{Kind: &record.Record_Ready{Ready: &record.Ready{Dc: "dk-east-1", Term: 1}}},
+		{Kind: &record.Record_Assign{Assign: a}},
+	} {
+		c.offset++
+		c.place.Apply(c.offset, rec)
+	}
+}
+
+// Interval is 300 ms of the controller's work: six steps and one heartbeat of each member.
+func (c *Cell) Interval() {
+	for range 6 {
+		c.now = c.now.Add(50 * time.Millisecond)
+		begin := time.Now()
+		actions := c.core.Step(c.now, &c.place, c.now)
+		c.Steps += time.Since(begin)
+		for _, a := range actions {
+			c.perform(a)
+		}
+	}
+	for _, req := range c.reqs {
+		c.beat(req)
+	}
+}
+
+func (c *Cell) perform(a ctrl.Action) {
+	switch {
+	case a.Append != nil:
+		c.offset++
+		c.place.Apply(c.offset, a.Append.Record)
+		c.core.Appended(a.Append.Tag, c.offset, false)
+	case a.Fence != nil:
+		for i, m := range c.members {
+			if m.Name == a.Fence.Name {
+				q := a.Fence.Request
+				pair := [2]uint64{q.GetTerm(), uint64(q.GetEpoch())}
+				c.reqs[i].Term, c.reqs[i].Epoch = pair[0], uint32(pair[1])
+				c.core.Fenced(c.now, c.now, m.Name, lease.Pair{Term: q.GetTerm(), Epoch: q.GetEpoch()}, &peerpb.FenceReply{
+					Instance: c.reqs[i].GetInstance(), Accepted: true, Term: pair[0], Epoch: uint32(pair[1]),
+				})
+			}
+		}
+	case a.Grant != nil:
+		g := a.Grant.Grant
+		r := grants.Reply{
+			Incarnation: 7, Clock: uint64(c.now.UnixNano()), Term: g.Term, Epoch: g.Epoch, Accepted: true, Held: g.Slots, Until: g.Until,
+		}
+		in, _ := json.Marshal(g)
+		out, _ := json.Marshal(r)
+		c.Grant, c.Held = c.Grant+len(in), c.Held+len(out)
+		begin := time.Now()
+		c.core.Answered(c.now, a.Grant.Server, a.Grant.ID, r, nil)
+		c.Steps += time.Since(begin)
+	}
+}
+
+// beat sends the heartbeat of a member, as package member does.
+func (c *Cell) beat(req *peerpb.HeartbeatRequest) {
+	c.Request += proto.Size(req)
+	begin := time.Now()
+	rep := c.core.Heartbeat(c.now, req)
+	c.Beats += time.Since(begin)
+	n := proto.Size(rep)
+	c.Reply += n
+	req.Term, req.Epoch, req.Echo = rep.GetTerm(), rep.GetEpoch(), rep.GetNonce()
+	if !rep.GetAccepted() || rep.GetView() == req.GetKnown() {
+		return
+	}
+	c.Full = max(c.Full, n)
+	req.Known, req.Servers = rep.GetView(), nil
+	for _, l := range rep.GetLanes() {
+		for _, s := range l.GetServers() {
+			r := &peerpb.ServerReport{Name: s.GetName(), Load: 1.25}
+			for k := range c.hot {
+				r.Slots = append(r.Slots, &peerpb.SlotLoad{Slot: uint32(100 * k), Rate: 12.5})
+			}
+			req.Servers = append(req.Servers, r)
+		}
+	}
+}
+
+// Settle runs until slots are served and nothing has been under way for a while.
+func (c *Cell) Settle() error {
+	last := uint64(0)
+	for quiet := 0; quiet < 30; quiet++ {
+		c.Interval()
+		s := c.core.Status
+		if c.offset != last || s.State != ctrl.Serving || s.Moves+s.Unlogged > 0 || len(c.place.Slots("stock")) == 0 {
+			last, quiet = c.offset, 0
+		}
+		if c.now.After(time.Unix(1_000_300, 0)) {
+			return errors.Newf("not settled: %+v", s)
+		}
+	}
+	return nil
+}
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -7,15 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/bramleycove/bramleycove/internal/place/lease"
-	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 )
 
-func pairOf(q *peerpb.FenceRequest) lease.Pair {
-	return lease.Pair{Term: q.GetTerm(), Epoch: q.GetEpoch()}
-}
-
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
