Keep whole logs and goroutine stacks of failed integration tests on demand

Change: with SYSTEM_LOGS=DIR a failed test ends its instances with SIGQUIT, whose stacks go to their logs, and copies the whole logs to DIR.

--- a/internal/stand/system/report.go
+++ b/internal/stand/system/report.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"maps"
 	"os"
+	"path/filepath"
 	"slices"
+	"strings"
+	"syscall"
+	"time"
 
 	"github.com/bramleycove/bramleycove/internal/stand/judge"
 )
@@ -20,11 +24,35 @@
 	if !r.tb.Failed() {
 		return
 	}
+	dir := os.Getenv(logsEnv)
 	for _, name := range slices.Sorted(maps.Keys(r.procs)) {
 		r.tb.Logf("--- end of the log of %s\n%s", name, r.procs[name].Tail())
+		if data, err := os.ReadFile(r.procs[name].Log); err == nil && dir != "" {
+			file := strings.ReplaceAll(r.tb.Name(), "/", "-") + "-" + name + ".log"
+			r.check(os.WriteFile(filepath.Join(dir, file), data, 0o644))
+		}
 	}
 }
 
+// logsEnv names a directory to which the whole logs of a failed test are copied.
+const logsEnv = "SYSTEM_LOGS"
+
+// dump makes the instances of a failed test write the stacks of their goroutines, which ends them. It shows what a part
+// that stands still waits for.
+func (r *System) dump() {
+	if !r.tb.Failed() || os.Getenv(logsEnv) == "" {
+		return
+	}
+	for _, in := range r.Plan.Instances {
+		if p := r.procs[in.Name]; p.Running() {
+			_ = p.Signal(syscall.SIGQUIT)
+			_, _ = p.Wait(dumpTime)
+		}
+	}
+}
+
+const dumpTime = 5 * time.Second
+
 // Record reads the journals written so far.
 func (r *System) Record() *judge.Record {
 	r.tb.Helper()
--- a/internal/stand/system/system.go
+++ b/internal/stand/system/system.go
@@ -381,6 +381,7 @@
 
 // end kills all processes, shows their logs if the test failed, and checks them for data races.
 func (r *System) end() {
+	r.dump()
 	for _, p := range r.procs {
 		if p.Running() {
 			_ = p.Signal(syscall.SIGKILL)
