Keep an instance's lanes when its heartbeat crosses a renewal of the term

Cause: a heartbeat that was on its way while the controller renewed its term got a reply under the new term that left lanes and members out, since the view had not changed. Ruled out: starvation, a panic and a deadlock, by the stacks of the instances. Change: content is new exactly if the view differs from the known one.

--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -255,7 +255,9 @@
 	if rep.GetAccepted() {
 		m.waits = 0
 	}
-	fresh := rep.GetAccepted() && (m.last.pair != pair || rep.GetView() != req.GetKnown())
+	// The controller leaves lanes and members out exactly if the view is the known one, also when it has renewed its
+	// term while the heartbeat was on its way. Views of different controllers are never equal.
+	fresh := rep.GetAccepted() && rep.GetView() != req.GetKnown()
 	view := m.last.view
 	if rep.GetAccepted() {
 		view = rep.GetView()
--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -126,3 +126,20 @@
 		t.Errorf("asked %v", r.asked)
 	}
 }
+
+// Guards against lost lanes when the controller renews its term while a heartbeat is on its way: the reply comes under
+// the new term and leaves the lanes out, since the view has not changed.
+func TestRenewedTermKeepsLanes(t *testing.T) {
+	r := newRig()
+	term := uint64(5)
+	r.reply = func(req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+		rep, err := r.accept(req)
+		rep.Term = term
+		return rep, err
+	}
+	for _, term = range []uint64{5, 6, 6} {
+		if !r.Beat(t.Context(), time.Now()) || len(r.lanes) != 1 {
+			t.Fatalf("term %d: lanes %v", term, r.lanes)
+		}
+	}
+}
