--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -276,14 +276,14 @@
 		return nil, work.Answer{}, err
 	}
 	if ticket == nil {
-		return nil, replayed(kept), nil
+		return nil, work.Recorded(kept), nil
 	}
 	return func(a work.Answer, err error) {
 		if err != nil {
 			ticket.Done(result.From(err).Verdict, nil)
 			return
 		}
-		ticket.Done(result.Ran, recorded(a))
+		ticket.Done(result.Ran, a.Record())
 	}, work.Answer{}, nil
 }
 
