Run test processes in process groups of their own

Cause: TestControllerLost failed beside load with "i1 does not run" for a controller that was stopped. When the leader of a process group ends, the kernel sends SIGHUP to a group with stopped members; the controllers shared the group of the shell that had started the run. Change: proc starts each process with Setpgid, and says how a process ended.

--- a/internal/stand/proc/process.go
+++ b/internal/stand/proc/process.go
@@ -43,8 +43,9 @@
 	cmd := exec.Command(p.Path, p.Args...)
 	cmd.Stdout, cmd.Stderr = watch, watch
 	cmd.Env = append(os.Environ(), p.Env...)
-	// The kernel ends the process if the test process dies.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The kernel ends the process if the test process dies. In the group of the tests, a stopped process would get SIGHUP
+	// when the shell that started them ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
@@ -113,11 +114,19 @@
 // Signal sends a signal. It fails if the process does not run.
 func (p *Process) Signal(sig syscall.Signal) error {
 	if !p.Running() {
-		return fmt.Errorf("%s does not run", p.Name)
+		return fmt.Errorf("%s does not run (%s)", p.Name, p.state())
 	}
 	return p.cmd.Process.Signal(sig)
 }
 
+// state says how the process ended.
+func (p *Process) state() string {
+	if p.cmd == nil {
+		return "never started"
+	}
+	return p.cmd.ProcessState.String()
+}
+
 // Wait waits for the end of the process and returns its exit code, -1 if a signal ended it.
 func (p *Process) Wait(within time.Duration) (int, error) {
 	select {
