Wait for a whole majority before an earlier leader counts as ended

Cause: a new leader counted the earlier one as ended one second after the first member of a majority followed, by the start of that exchange. A member that followed later could have kept the earlier leader in force until then. Change: witnesses hold the start and the end of an exchange. The holder counts from the starts, a successor from the latest end of its majority. The property test's pushes take time now and overtake each other. An answer takes the lock of coord once. Result: TestEndedAfterLatePush failed before ("the holder acts 2.401s after the claim, counted on as ended after 2.4s") and passes now.

--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -82,7 +82,7 @@
 		since: now, keepers: make(map[string]*keep.Keeper), gauge: gauge.New(),
 		fence: c.build.Fence,
 	}
-	c.lead.succession.Follows(c.tenure.Self, now)
+	c.lead.succession.Follows(c.tenure.Self, now, now)
 	for pool, m := range c.build.Owners {
 		c.lead.keepers[pool] = keep.New(m, &c.lead.fence, now, inherited)
 	}
@@ -98,19 +98,19 @@
 // lasts returns how long a grant may hold at a server whose clock is slow, with a margin.
 func (c *Coord) lasts() time.Duration { return c.hold() + c.hold()/20 }
 
-// follows takes a member's word that it followed in an exchange that began at start. c.mu is held.
-func (c *Coord) follows(addr string, start time.Time, r *sitepb.PushReply) {
+// follows takes a member's word that it followed in an exchange between start and now. c.mu is held.
+func (c *Coord) follows(addr string, start, now time.Time, r *sitepb.PushReply) {
 	l := c.lead
 	if r.GetStale() || r.GetTerm() != c.term() {
 		return
 	}
 	if r.GetStartTerm() < c.term() {
-		l.witnesses.Follows(addr, start)
+		l.witnesses.Follows(addr, start, now)
 	}
 	if l.succeeded {
 		return
 	}
-	l.succession.Follows(addr, start)
+	l.succession.Follows(addr, start, now)
 	if _, ok := l.succession.Majority(); !ok {
 		return
 	}
@@ -124,7 +124,7 @@
 
 // acts reports whether this instance may give orders. c.mu is held.
 func (c *Coord) acts(now time.Time) bool {
-	c.lead.witnesses.Follows(c.tenure.Self, now)
+	c.lead.witnesses.Follows(c.tenure.Self, now, now)
 	return c.tenure.Holds(now, c.lead.witnesses)
 }
 
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
@@ -71,9 +70,7 @@
 		c.record(now)
 	}
 	c.announce()
-	if peers := c.pusher.Peers(); !slices.Equal(peers, l.peers) {
-		l.peers = peers
-	}
+	l.peers = c.pusher.Peers()
 	c.peers.Store(int64(len(l.peers)))
 	c.pusher.Round(now, l.news, l.peers)
 }
@@ -230,27 +227,16 @@
 
 // reported takes the answer of a member.
 func (c *Coord) reported(start time.Time, addr string, r *sitepb.PushReply) {
-	if r.GetTerm() > c.currentTerm() {
-		c.log.Info("newer-leader", "peer", addr, "term", r.GetTerm())
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.lead != nil {
-			c.resign(c.cfg.Now())
-		}
-		return
-	}
 	c.cfg.Learn(time.Now(), r.GetStrikes())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lead == nil {
-		return
+	switch now := c.cfg.Now(); {
+	case c.lead == nil:
+	case r.GetTerm() > c.term():
+		c.log.Info("newer-leader", "peer", addr, "term", r.GetTerm())
+		c.resign(now)
+	default:
+		c.follows(addr, start, now, r)
+		c.lead.gauge.Take(r)
 	}
-	c.follows(addr, start, r)
-	c.lead.gauge.Take(r)
-}
-
-func (c *Coord) currentTerm() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.term()
 }
--- a/internal/place/tenure/quorum.go
+++ b/internal/place/tenure/quorum.go
@@ -10,36 +10,49 @@
 // the same members follow the successor, since two majorities share a member. They store nothing.
 type Witnesses struct {
 	members []string
-	heard   map[string]time.Time // start of the last exchange in which a member followed
+	words   map[string]word
 }
 
+// word is an exchange in which a member followed.
+type word struct{ start, end time.Time }
+
 // NewWitnesses returns witnesses that were not heard of yet.
 func NewWitnesses(members []string) *Witnesses {
-	return &Witnesses{members: members, heard: make(map[string]time.Time)}
+	return &Witnesses{members: members, words: make(map[string]word)}
 }
 
 // Recorded replaces the members by those that the store has with the lead now.
 func (w *Witnesses) Recorded(members []string) { w.members = members }
 
-// Follows notes that an instance followed in an exchange that began at start. It counts if it is a member.
-func (w *Witnesses) Follows(member string, start time.Time) {
-	if start.After(w.heard[member]) {
-		w.heard[member] = start
+// Follows notes that an instance followed in an exchange between start and end. It counts if it is a member.
+func (w *Witnesses) Follows(member string, start, end time.Time) {
+	if start.After(w.words[member].start) {
+		w.words[member] = word{start, end}
 	}
 }
 
 // Majority returns the latest time since which more than half of the members followed. ok is false if so many never did.
 func (w *Witnesses) Majority() (since time.Time, ok bool) {
+	return w.nth(func(x word) time.Time { return x.start }, func(a, b time.Time) int { return b.Compare(a) })
+}
+
+// reached returns when more than half of the members had certainly begun to follow.
+func (w *Witnesses) reached() (at time.Time, ok bool) {
+	return w.nth(func(x word) time.Time { return x.end }, time.Time.Compare)
+}
+
+// nth returns the time of the member that completes a majority, in the given order.
+func (w *Witnesses) nth(of func(word) time.Time, order func(a, b time.Time) int) (at time.Time, ok bool) {
 	var times []time.Time
 	for _, m := range w.members {
-		if at, ok := w.heard[m]; ok {
-			times = append(times, at)
+		if x, ok := w.words[m]; ok {
+			times = append(times, of(x))
 		}
 	}
 	need := len(w.members)/2 + 1
 	if len(times) < need {
 		return time.Time{}, false
 	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	slices.SortFunc(times, order)
 	return times[need-1], true
 }
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -90,12 +90,13 @@
 // Ended returns when an earlier holder has certainly stopped acting, for a successor whose claim was accepted at claim.
 // w are the earlier holder's members that follow the successor.
 func Ended(claim time.Time, w *Witnesses) time.Time {
-	since, ok := w.Majority()
+	// A member may have followed the earlier holder until its exchange with the successor ended.
+	reached, ok := w.reached()
 	if !ok {
 		return claim.Add(Extension)
 	}
 	end := claim.Add(Lease)
-	if f := since.Add(Fresh); f.After(end) {
+	if f := reached.Add(Fresh); f.After(end) {
 		end = f
 	}
 	return end
--- a/internal/place/tenure/tenure_test.go
+++ b/internal/place/tenure/tenure_test.go
@@ -113,8 +113,23 @@
 	}
 }
 
+// exchange is a push of the leader of a term and its answer, on the grid of time of TestWitnesses.
+type exchange struct {
+	member              int
+	term                uint64
+	start, arrival, end time.Time
+	taken               bool // the member follows, and is a witness
+}
+
+func newExchange(rng *rand.Rand, now time.Time, member int, term uint64) exchange {
+	arrival := now.Add(time.Duration(rng.IntN(16)) * 50 * time.Millisecond)
+	return exchange{
+		member: member, term: term, start: now, arrival: arrival, end: arrival.Add(time.Duration(1+rng.IntN(16)) * 50 * time.Millisecond),
+	}
+}
+
 // Guards against a leader and its successor that both count on a majority: witnesses that restart, cut pairs of instances,
-// members that follow late.
+// members that follow late, pushes that overtake each other.
 func TestWitnesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -133,18 +148,16 @@
 		a.Confirmed(epoch, epoch, first)
 		claim := epoch.Add(time.Duration(2+rng.IntN(6)) * time.Second)
 		ended, known := time.Time{}, false
+		var under []exchange
 		for now := epoch; now.Before(epoch.Add(20 * time.Second)); now = now.Add(50 * time.Millisecond) {
 			i := rng.IntN(n)
 			claimed := !now.Before(claim)
 			switch rng.IntN(4) {
 			case 0: // a push of the old leader
-				if follows[i] <= 1 && starts[i] < 1 {
-					old.Follows(members[i], now)
-				}
+				under = append(under, newExchange(rng, now, i, 1))
 			case 1: // a push of the successor
 				if claimed {
-					follows[i] = 2
-					succession.Follows(members[i], now)
+					under = append(under, newExchange(rng, now, i, 2))
 				}
 			case 2: // a restart, at which the member may or may not reach the store
 				if rng.IntN(4) == 0 {
@@ -154,6 +167,19 @@
 					}
 				}
 			}
+			for x := range under {
+				x := &under[x]
+				switch {
+				case now.Equal(x.arrival):
+					follows[x.member] = max(follows[x.member], x.term)
+					x.taken = follows[x.member] == x.term && starts[x.member] < x.term
+				case !now.Equal(x.end) || !x.taken:
+				case x.term == 1:
+					old.Follows(members[x.member], x.start, x.end)
+				default:
+					succession.Follows(members[x.member], x.start, x.end)
+				}
+			}
 			if _, ok := succession.Majority(); ok && !known {
 				known, ended = true, tenure.Ended(claim, succession)
 			}
@@ -167,11 +193,34 @@
 	})
 }
 
+// Guards against a successor that counts a member from the start of a push, when that member goes on to follow the earlier
+// holder until the push arrives.
+func TestEndedAfterLatePush(t *testing.T) {
+	members := []string{"holder", "successor", "member"}
+	holder, old, succession := &tenure.Tenure{Self: "holder"}, tenure.NewWitnesses(members), tenure.NewWitnesses(members)
+	first := holder.Next(1, members, false)
+	first.Offset = 1
+	holder.Confirmed(epoch, epoch, first)
+	claim := epoch.Add(2 * time.Second)
+	succession.Follows("successor", claim, claim)
+	// The successor's push takes 700 ms to arrive, the holder's overtakes it.
+	start := claim.Add(1500 * time.Millisecond)
+	overtaking, arrival := start.Add(600*time.Millisecond), start.Add(700*time.Millisecond)
+	old.Follows("holder", overtaking, overtaking)
+	old.Follows("member", overtaking, overtaking.Add(50*time.Millisecond))
+	succession.Follows("member", start, arrival)
+	ended := tenure.Ended(claim, succession)
+	if at := ended.Add(time.Millisecond); holder.Holds(at, old) {
+		t.Errorf("the holder acts %v after the claim, counted on as ended after %v", at.Sub(claim), ended.Sub(claim))
+	}
+}
+
 // A majority counts from the time since which all of its members followed.
 func ExampleWitnesses() {
 	w := tenure.NewWitnesses([]string{"a", "b", "c", "d"})
 	for i, m := range []string{"a", "x", "b", "c"} {
-		w.Follows(m, epoch.Add(time.Duration(i)*time.Second))
+		at := epoch.Add(time.Duration(i) * time.Second)
+		w.Follows(m, at, at)
 		since, ok := w.Majority()
 		fmt.Println(ok, ok && since.Equal(epoch))
 	}
