Keep renewals of the lead from being passed on

Cause: the record of the lead names all instances and changes each second, so that the leader sent it to every instance each second: bytes that grow with the square of the instances. Change: the book reports a renewal to its own instance, but does not pass it on; members learn the age of the lease from the pushes and count the lead's silence from that.

--- a/internal/peer/feed/book.go
+++ b/internal/peer/feed/book.go
@@ -17,6 +17,9 @@
 	// Same reports whether two values of a key mean the same to every reader. Such a record updates the entry, but it is
 	// neither reported as changed nor passed on. nil means that all records count.
 	Same func(topic keyed.Topic, old, value []byte) bool
+	// Quiet reports whether a record matters only to readers of the store. It is reported as changed, but not passed on.
+	// nil means that none is.
+	Quiet func(topic keyed.Topic, key string, old, value []byte) bool
 
 	apply   sync.Mutex // held during Apply and its call of Changed
 	mu      sync.Mutex
@@ -79,6 +82,11 @@
 			s.keys[e.Key] = item{Entry: e, seq: old.seq}
 			return
 		}
+		if ok && b.Quiet != nil && b.Quiet(topic, e.Key, old.Value, e.Value) {
+			s.keys[e.Key] = item{Entry: e, seq: old.seq}
+			fresh = append(fresh, e)
+			return
+		}
 		s.seq++
 		s.keys[e.Key] = item{Entry: e, seq: s.seq}
 		if len(e.Value) > 0 || (ok && len(old.Value) > 0) {
--- a/internal/peer/feed/feed_test.go
+++ b/internal/peer/feed/feed_test.go
@@ -115,3 +115,25 @@
 		t.Errorf("after one failed read: %+v", got)
 	}
 }
+
+// Guards against renewals of the lead that are sent to all instances each second.
+func TestQuiet(t *testing.T) {
+	fresh := 0
+	b := &feed.Book{
+		Changed: func(_ keyed.Topic, entries []keyed.Entry) { fresh += len(entries) },
+		Quiet:   func(_ keyed.Topic, key string, _, _ []byte) bool { return key == "lead" },
+	}
+	put := func(key string, offset uint64) {
+		b.Apply(keyed.Place, keyed.Batch{Entries: []keyed.Entry{entry(key, offset, "v")}, End: offset + 1}, false)
+	}
+	put("lead", 0)
+	put("other", 1)
+	_, sent := b.Since(keyed.Place, 0)
+	put("lead", 2)
+	if batch, _ := b.Since(keyed.Place, sent); len(batch.Entries) != 0 || fresh != 3 {
+		t.Errorf("passed on %v, reported %d", batch.Entries, fresh)
+	}
+	if batch, _ := b.Since(keyed.Place, 0); len(batch.Entries) != 2 || b.Get(keyed.Place, "lead").Offset != 2 {
+		t.Errorf("a new instance gets %v", batch.Entries)
+	}
+}
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -3,6 +3,7 @@
 package build
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -129,13 +130,12 @@
 func (b *Builder) takePlace(e keyed.Entry) error {
 	switch {
 	case e.Key == leadKey:
-		var l sitepb.Lead
-		if err := proto.Unmarshal(e.Value, &l); err != nil {
-			return errors.Wrap(err, "lead")
+		l, err := decodeLead(e.Value)
+		if err != nil {
+			return err
 		}
-		b.Lead(tenure.Lead{
-			Holder: l.GetHolder(), Term: l.GetTerm(), Nonce: l.GetNonce(), Resigned: l.GetResigned(), Offset: e.Offset, Members: l.GetMembers(),
-		})
+		l.Offset = e.Offset
+		b.Lead(l)
 	case strings.HasPrefix(e.Key, chunks.Prefix):
 		o := new(sitepb.Owners)
 		if err := proto.Unmarshal(e.Value, o); err != nil {
@@ -186,6 +186,25 @@
 	return keyed.Entry{Key: leadKey, Value: value}, errors.Wrap(err, "lead")
 }
 
+func decodeLead(value []byte) (tenure.Lead, error) {
+	var l sitepb.Lead
+	err := proto.Unmarshal(value, &l)
+	return tenure.Lead{
+		Holder: l.GetHolder(), Term: l.GetTerm(), Nonce: l.GetNonce(), Resigned: l.GetResigned(), Members: l.GetMembers(),
+	}, errors.Wrap(err, "lead")
+}
+
+// Renewal reports whether a record of the place stream only renews the lead. It names all instances, and each of them
+// learns from the pushes how old the lease is.
+func Renewal(topic keyed.Topic, key string, old, value []byte) bool {
+	if topic != keyed.Place || key != leadKey {
+		return false
+	}
+	a, errA := decodeLead(old)
+	b, errB := decodeLead(value)
+	return errA == nil && errB == nil && a.Holder == b.Holder && a.Term == b.Term && a.Resigned == b.Resigned && slices.Equal(a.Members, b.Members)
+}
+
 // World returns the world as the records show it.
 func (b *Builder) World() *world.World {
 	if b.Owners == nil && b.Chunks != nil {
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -102,7 +102,7 @@
 	c.build = build.Builder{
 		Decoder: cfg.Decoder, Log: cfg.Events, Lead: func(l tenure.Lead) { c.tenure.Observe(cfg.Now(), l) },
 	}
-	c.book = &feed.Book{Changed: c.changed, Same: cfg.Same}
+	c.book = &feed.Book{Changed: c.changed, Same: cfg.Same, Quiet: build.Renewal}
 	c.reader = &reads.Reader{Log: cfg.Log, Book: c.book, Events: cfg.Events, Now: cfg.Now}
 	c.pusher = &spread.Pusher{Self: c.tenure.Self, Client: c.client, Book: c.book, Base: c.push, Heard: c.reported}
 	return c
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -93,6 +93,7 @@
 			c.member.peers = r.GetPeers()
 		}
 		c.member.unconfirmed = time.Duration(r.GetUnconfirmedMs()) * time.Millisecond
+		c.tenure.Renewed(r.GetFrom(), r.GetTerm(), now.Add(-c.member.unconfirmed))
 		c.peers.Store(int64(max(1, len(c.member.peers))))
 		c.setMoving(r.GetMoving())
 	}
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -42,7 +42,7 @@
 
 	lead  Lead
 	known bool
-	since time.Time // when the lead was first seen
+	since time.Time // when the lead was first seen, or last renewed by its holder's word
 	mine  bool
 	sent  time.Time // start of the last confirmed append of this instance
 }
@@ -58,6 +58,13 @@
 	t.lead, t.known, t.since = l, true, now
 }
 
+// Renewed notes the holder's word that the store accepted its latest renewal at that time.
+func (t *Tenure) Renewed(holder string, term uint64, at time.Time) {
+	if t.known && t.lead.Holder == holder && t.lead.Term == term && at.After(t.since) {
+		t.since = at
+	}
+}
+
 // Lead returns the newest record of the lead and whether there is one.
 func (t *Tenure) Lead() (Lead, bool) { return t.lead, t.known }
 
