Relay pushes within data centres of large deployments

Cause: the leader pushed to every instance: at 100 instances its processor was at its share and its news waited. Change: from 24 instances on, one instance of each data centre with four or more relays pushes and merged answers. The leader pushes itself to members that their relay has not reached for 700 ms, and replaces a relay that fails. Pushes are numbered, and name the offset of the latest renewal.

--- /dev/null
+++ b/internal/peer/spread/client.go
@@ -0,0 +1,71 @@
+package spread
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
+)
+
+const (
+	// connectTimeout covers the way between regions with room for one lost packet's retransmission being given up.
+	connectTimeout = 400 * time.Millisecond
+	idlePerHost    = 2
+	idleTimeout    = 30 * time.Second
+)
+
+// Client calls other instances.
+type Client struct {
+	http  *http.Client
+	known sync.Map // sitepb.Site by address
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}}
+}
+
+func (c *Client) at(addr string) sitepb.Site {
+	if p, ok := c.known.Load(addr); ok {
+		return p.(sitepb.Site)
+	}
+	p, _ := c.known.LoadOrStore(addr, sitepb.NewSiteProtobufClient("http://"+addr, c.http))
+	return p.(sitepb.Site)
+}
+
+// Pull introduces the instance self to the one at addr and returns the state of that one.
+func (c *Client) Pull(ctx context.Context, addr, self string) (*sitepb.PushRequest, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.at(addr).Pull(ctx, &sitepb.PullRequest{From: self})
+}
+
+// Handlers answers the calls of other instances. Both fields are set.
+type Handlers struct {
+	OnPush func(*sitepb.PushRequest) *sitepb.PushReply
+	OnPull func(*sitepb.PullRequest) *sitepb.PushRequest
+}
+
+// Handler returns the handler for the peer listener.
+func (h *Handlers) Handler() fasthttp.RequestHandler {
+	return fasthttpadaptor.NewFastHTTPHandler(sitepb.NewSiteServer(h))
+}
+
+// Push implements sitepb.Site.
+func (h *Handlers) Push(_ context.Context, r *sitepb.PushRequest) (*sitepb.PushReply, error) {
+	return h.OnPush(r), nil
+}
+
+// Pull implements sitepb.Site.
+func (h *Handlers) Pull(_ context.Context, r *sitepb.PullRequest) (*sitepb.PushRequest, error) {
+	return h.OnPull(r), nil
+}
--- /dev/null
+++ b/internal/peer/spread/relay_test.go
@@ -0,0 +1,215 @@
+package spread_test
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/peer/feed"
+	"github.com/bramleycove/bramleycove/internal/peer/spread"
+	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
+)
+
+// relayed is a member that passes pushes on when it is told to.
+type relayed struct {
+	book    feed.Book
+	addr    string
+	relay   *spread.Relay
+	stopped atomic.Bool // it does not answer, like a process that stands still
+
+	mu      sync.Mutex
+	heard   time.Time
+	longest time.Duration // between two pushes
+	serves  int           // members that it was told to serve last
+	number  uint64
+}
+
+func listenRelayed(t *testing.T, dc string, small bool) *relayed {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &relayed{addr: ln.Addr().String()}
+	m.relay = spread.NewRelay(m.addr, spread.NewClient(), &m.book, time.Now, func([]*sitepb.Strike) {})
+	h := &spread.Handlers{OnPush: func(r *sitepb.PushRequest) *sitepb.PushReply { return m.push(r, dc, small) }}
+	srv := &fasthttp.Server{Handler: h.Handler()}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Shutdown() })
+	return m
+}
+
+func (m *relayed) push(r *sitepb.PushRequest, dc string, small bool) *sitepb.PushReply {
+	for m.stopped.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	now := time.Now()
+	m.mu.Lock()
+	if !m.heard.IsZero() {
+		m.longest = max(m.longest, now.Sub(m.heard))
+	}
+	m.heard, m.serves, m.number = now, len(r.GetServes()), max(m.number, r.GetNumber())
+	m.mu.Unlock()
+	for _, s := range r.GetStreams() {
+		topic, batch, whole, err := spread.Decode(s)
+		if _, known := m.book.End(topic); err == nil && (known || whole) {
+			m.book.Apply(topic, batch, whole)
+		}
+	}
+	reply := &sitepb.PushReply{
+		Term: r.GetTerm(), Dc: dc, Small: small,
+		Loads: []*sitepb.KeyLoad{{Pool: "p", Key: 7, Count: 1}},
+		Seen:  []*sitepb.Seen{{Server: "s", Answers: 1, Seconds: 0.25}},
+	}
+	for topic := range keyed.Count {
+		end, _ := m.book.End(topic)
+		reply.Have = append(reply.Have, &sitepb.Have{Topic: uint32(topic), End: end})
+	}
+	m.relay.Pass(now, r, nil, reply)
+	return reply
+}
+
+// lead is a leader of members in one data centre.
+type lead struct {
+	spread.Pusher
+	pushes atomic.Int64 // by the leader itself
+
+	mu      sync.Mutex
+	last    map[string]time.Time // start of the last exchange of each member
+	loads   int
+	answers int
+}
+
+func newLead(t *testing.T, members []*relayed) *lead {
+	book := new(feed.Book)
+	book.Apply(keyed.Config, entry("config", 3, []byte("c")), true)
+	book.Apply(keyed.Servers, entry("a", 5, []byte("x")), true)
+	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	l := &lead{last: make(map[string]time.Time)}
+	l.Self, l.Client, l.Book = "127.0.0.1:1", spread.NewClient(), book
+	l.Base = func(time.Time) *sitepb.PushRequest {
+		l.pushes.Add(1)
+		return &sitepb.PushRequest{Term: 1, From: l.Self}
+	}
+	l.Heard = func(start time.Time, addr string, r *sitepb.PushReply) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.last[addr] = start
+		for _, k := range r.GetLoads() {
+			l.loads += int(k.GetCount())
+		}
+		for _, s := range r.GetSeen() {
+			l.answers += int(s.GetAnswers())
+		}
+	}
+	for _, m := range members {
+		l.Meet(time.Now(), m.addr)
+	}
+	t.Cleanup(l.Wait)
+	return l
+}
+
+// run pushes for d, or until cond holds if it is not nil.
+func (l *lead) run(d time.Duration, members []*relayed, cond func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if cond != nil && cond() {
+			return true
+		}
+		l.Round(time.Now(), 1, l.Peers())
+		for _, m := range members {
+			m.relay.Again(time.Now(), nil)
+		}
+	}
+	return cond == nil
+}
+
+// serving returns a member that passes pushes on to at least n others, nil if there is none.
+func serving(members []*relayed, n int) *relayed {
+	for _, m := range members {
+		m.mu.Lock()
+		serves := m.serves
+		m.mu.Unlock()
+		if serves >= n {
+			return m
+		}
+	}
+	return nil
+}
+
+// Guards against a leader that sends to every instance itself, and loses reports or hears late of members behind a relay.
+func TestRelay(t *testing.T) {
+	var members []*relayed
+	for i := range 26 {
+		members = append(members, listenRelayed(t, "a", i%2 == 0))
+	}
+	l := newLead(t, members)
+	if !l.run(5*time.Second, members, func() bool { return serving(members, 20) != nil }) {
+		t.Fatal("no relay")
+	}
+	l.run(time.Second, members, nil)
+	before := l.pushes.Load()
+	l.run(2*time.Second, members, nil)
+	if n := l.pushes.Load() - before; n > 3*2000/350 {
+		t.Errorf("%d pushes in 2s by the leader itself", n)
+	}
+	l.Book.Apply(keyed.Servers, entry("a", 6, []byte("y")), false)
+	begun := time.Now()
+	if !l.run(time.Second, members, func() bool {
+		for _, m := range members {
+			if m.book.Get(keyed.Servers, "a").Offset != 6 {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Error("news not within 1s")
+	}
+	t.Logf("news took %v", time.Since(begun))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range members {
+		if age := time.Since(l.last[m.addr]); age > 700*time.Millisecond {
+			t.Errorf("%s was heard of %v ago", m.addr, age)
+		}
+	}
+	if l.loads < 26*5 || l.loads != l.answers {
+		t.Errorf("%d requests and %d answers reported", l.loads, l.answers)
+	}
+}
+
+// Guards against members that hear nothing for longer than members wait before they turn to the store, 1.2 s, when their
+// relay stands still.
+func TestRelayLost(t *testing.T) {
+	var members []*relayed
+	for i := range 26 {
+		members = append(members, listenRelayed(t, fmt.Sprint("dc", i%2), false))
+	}
+	l := newLead(t, members)
+	if !l.run(5*time.Second, members, func() bool { return serving(members, 10) != nil }) {
+		t.Fatal("no relay")
+	}
+	l.run(time.Second, members, nil)
+	lost := serving(members, 10)
+	for _, m := range members {
+		m.mu.Lock()
+		m.longest = 0
+		m.mu.Unlock()
+	}
+	lost.stopped.Store(true)
+	defer lost.stopped.Store(false)
+	l.run(4*time.Second, members, nil)
+	for _, m := range members {
+		m.mu.Lock()
+		longest := max(m.longest, time.Since(m.heard))
+		m.mu.Unlock()
+		if m != lost && longest > 1200*time.Millisecond {
+			t.Errorf("%s heard nothing for %v", m.addr, longest)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/spread/route.go
@@ -0,0 +1,150 @@
+package spread
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
+)
+
+const (
+	// relayFrom is the number of instances from which on relays are used. Below, a leader's own pushes cost little, and
+	// each relay is one more process whose loss delays news.
+	relayFrom = 24
+	// relayGroup is the least number of instances of a data centre that has a relay.
+	relayGroup = 4
+	// relayPatience is how long after its last exchange with a relay a member is left to it: two intervals. It hears from
+	// the leader itself before it gives that up as silent.
+	relayPatience = 2 * Interval
+	// relayTrial is how long a relay has to reach half of its members.
+	relayTrial = 2 * time.Second
+	// relayPause is how long one that does not is not chosen again.
+	relayPause = 10 * time.Second
+)
+
+// assignment is the instance that passes news on in a data centre, and since when.
+type assignment struct {
+	addr  string
+	since time.Time
+}
+
+// assign chooses the relays and returns the members that each of them serves. p.mu is held.
+func (p *Pusher) assign(now time.Time) map[string][]string {
+	if p.flat || len(p.peers)+1 < relayFrom {
+		p.relays = nil
+		return nil
+	}
+	members := make(map[string][]string)
+	for _, addr := range slices.Sorted(maps.Keys(p.peers)) {
+		if dc := p.peers[addr].dc; dc != "" {
+			members[dc] = append(members[dc], addr)
+		}
+	}
+	relays, serves := make(map[string]assignment), make(map[string][]string)
+	for dc, addrs := range members {
+		if len(addrs) < relayGroup {
+			continue
+		}
+		r, ok := p.relays[dc]
+		if !ok || !p.fit(now, r, addrs) {
+			if r, ok = p.choose(now, addrs); !ok {
+				continue
+			}
+		}
+		relays[dc] = r
+		for _, a := range addrs {
+			if x := p.peers[a]; a != r.addr && (x.failures == 0 || now.Sub(x.relayed) < relayPatience) {
+				serves[r.addr] = append(serves[r.addr], a)
+			}
+		}
+	}
+	p.relays = relays
+	return serves
+}
+
+// fit reports whether a relay does its work: it answers, and it reaches members.
+func (p *Pusher) fit(now time.Time, r assignment, addrs []string) bool {
+	x := p.peers[r.addr]
+	if x == nil || x.failures > 0 || now.Before(x.unfit) {
+		return false
+	}
+	reached := 0
+	for _, a := range addrs {
+		if now.Sub(p.peers[a].relayed) < relayPatience {
+			reached++
+		}
+	}
+	if now.Sub(r.since) > relayTrial && 2*reached < len(addrs)-1 {
+		x.unfit = now.Add(relayPause)
+		return false
+	}
+	return true
+}
+
+// choose returns the relay for a data centre: a large instance that answers, the first by address, so that a new leader
+// chooses the same one.
+func (p *Pusher) choose(now time.Time, addrs []string) (assignment, bool) {
+	var fit []string
+	for _, a := range addrs {
+		if x := p.peers[a]; (x.state == current || x.state == behind) && x.failures == 0 && !now.Before(x.unfit) {
+			fit = append(fit, a)
+		}
+	}
+	if len(fit) == 0 {
+		return assignment{}, false
+	}
+	least := slices.MinFunc(fit, func(a, b string) int {
+		if x, y := p.peers[a], p.peers[b]; x.small != y.small {
+			if x.small {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a, b)
+	})
+	return assignment{addr: least, since: now}, true
+}
+
+// covered reports whether a member is left to its relay for now. p.mu is held.
+func (p *Pusher) covered(now time.Time, addr string, x *peer) bool {
+	r, ok := p.relays[x.dc]
+	if !ok || r.addr == addr || now.Sub(x.relayed) >= relayPatience {
+		return false
+	}
+	via := p.peers[r.addr]
+	return via != nil && via.failures == 0
+}
+
+// word is an answer that came over a relay.
+type word struct {
+	start time.Time
+	addr  string
+	reply *sitepb.PushReply
+}
+
+// takeRelayed takes the answers of members that came with one of their relay. Its exchange began at start, so that theirs
+// began no earlier than their age before that. p.mu is held.
+func (p *Pusher) takeRelayed(start time.Time, relayed []*sitepb.Relayed) (out []word) {
+	for _, r := range relayed {
+		x := p.peers[r.GetMember()]
+		if x == nil {
+			continue
+		}
+		began := start.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
+		if began.After(x.relayed) {
+			x.relayed = began
+		}
+		if began.After(x.heard) {
+			x.heard = began
+		}
+		x.dc, x.small, x.state = r.GetReply().GetDc(), r.GetReply().GetSmall(), behind
+		x.has(r.GetReply())
+		if r.GetReply().GetStopping() {
+			delete(p.peers, r.GetMember())
+		}
+		out = append(out, word{began, r.GetMember(), r.GetReply()})
+	}
+	return out
+}
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -1,21 +1,16 @@
 // Package spread carries news between the leader and the other instances: the leader pushes changes of the shared
 // streams, and each answer brings back what a member has seen. One reader thus serves all instances, since calls to the
-// store are priced and limited.
+// store are priced and limited. In a data centre with many instances one of them relays the pushes and the answers.
 package spread
 
 import (
-	"bytes"
+	"cmp"
 	"context"
-	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/peer/feed"
@@ -34,66 +29,12 @@
 	firstTimeout = 450 * time.Millisecond
 	// slowest is the rate that a push is given time for, in bytes a second: a tenth of a small instance's link.
 	slowest = 100 << 10
-	// connectTimeout covers the way between regions with room for one lost packet's retransmission being given up.
-	connectTimeout = 400 * time.Millisecond
 	// forget is how long an instance is remembered that does not answer. It introduces itself when it is back.
 	forget = 8 * time.Second
 	// backoff is the pause after a failed push.
-	backoff     = 500 * time.Millisecond
-	idlePerHost = 2
-	idleTimeout = 30 * time.Second
+	backoff = 500 * time.Millisecond
 )
 
-// Client calls other instances.
-type Client struct {
-	http  *http.Client
-	known sync.Map // sitepb.Site by address
-}
-
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
-}
-
-func (c *Client) at(addr string) sitepb.Site {
-	if p, ok := c.known.Load(addr); ok {
-		return p.(sitepb.Site)
-	}
-	p, _ := c.known.LoadOrStore(addr, sitepb.NewSiteProtobufClient("http://"+addr, c.http))
-	return p.(sitepb.Site)
-}
-
-// Pull introduces the instance self to the one at addr and returns the state of that one.
-func (c *Client) Pull(ctx context.Context, addr, self string) (*sitepb.PushRequest, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return c.at(addr).Pull(ctx, &sitepb.PullRequest{From: self})
-}
-
-// Handlers answers the calls of other instances. Both fields are set.
-type Handlers struct {
-	OnPush func(*sitepb.PushRequest) *sitepb.PushReply
-	OnPull func(*sitepb.PullRequest) *sitepb.PushRequest
-}
-
-// Handler returns the handler for the peer listener.
-func (h *Handlers) Handler() fasthttp.RequestHandler {
-	return fasthttpadaptor.NewFastHTTPHandler(sitepb.NewSiteServer(h))
-}
-
-// Push implements sitepb.Site.
-func (h *Handlers) Push(_ context.Context, r *sitepb.PushRequest) (*sitepb.PushReply, error) {
-	return h.OnPush(r), nil
-}
-
-// Pull implements sitepb.Site.
-func (h *Handlers) Pull(_ context.Context, r *sitepb.PullRequest) (*sitepb.PushRequest, error) {
-	return h.OnPull(r), nil
-}
-
 // Pusher is the leader's side. It may be used by many goroutines.
 type Pusher struct {
 	Self   string
@@ -104,9 +45,13 @@
 	// Heard is called with each answer and the start of its exchange, by the clock of Round.
 	Heard func(start time.Time, addr string, r *sitepb.PushReply)
 
-	mu    sync.Mutex
-	peers map[string]*peer
-	wg    conc.WaitGroup
+	mu     sync.Mutex
+	peers  map[string]*peer
+	relays map[string]assignment // by data centre
+	flat   bool                  // no relays
+	gap    time.Duration         // 0 means the constant
+	number uint64                // of the last push
+	wg     conc.WaitGroup
 }
 
 // peer is another instance. seqs are the numbers of the changes that it has.
@@ -121,6 +66,10 @@
 	failures int      // pushes in a row
 	fresh    uint64   // number of the news that it got last
 	told     []string // the instances that it was told of
+	dc       string
+	small    bool
+	relayed  time.Time // start of its last exchange with its relay
+	unfit    time.Time // it is not chosen as a relay until then
 }
 
 // peerState says what an instance is sent.
@@ -158,6 +107,18 @@
 	}
 }
 
+// Only keeps these instances, adds those of them that are not known yet, and forgets all others.
+func (p *Pusher) Only(now time.Time, addrs []string) {
+	p.mu.Lock()
+	for a := range p.peers {
+		if !slices.Contains(addrs, a) {
+			delete(p.peers, a)
+		}
+	}
+	p.mu.Unlock()
+	p.Keep(now, addrs)
+}
+
 // Peers returns the addresses of all instances, this one included, in order.
 func (p *Pusher) Peers() []string {
 	p.mu.Lock()
@@ -178,9 +139,11 @@
 	for addr, x := range p.peers {
 		if now.Sub(x.heard) > forget {
 			delete(p.peers, addr)
-			continue
 		}
-		if x.busy || now.Before(x.retry) || now.Sub(x.sent) < gap {
+	}
+	serves := p.assign(now)
+	for addr, x := range p.peers {
+		if x.busy || now.Before(x.retry) || now.Sub(x.sent) < cmp.Or(p.gap, gap) || p.covered(now, addr, x) {
 			continue
 		}
 		if now.Sub(x.sent) < Interval && x.fresh == news && !p.behind(x) {
@@ -188,6 +151,11 @@
 		}
 		x.busy, x.sent, x.fresh = true, now, news
 		req := p.Base(now)
+		if req.Number == 0 {
+			p.number++
+			req.Number = p.number
+		}
+		req.Serves = serves[addr]
 		seqs := p.fill(req, x)
 		if !slices.Equal(x.told, peers) {
 			req.Peers = peers
@@ -256,11 +224,16 @@
 		x.told = req.GetPeers()
 	}
 	x.learn(req, reply, seqs)
+	x.dc, x.small = reply.GetDc(), reply.GetSmall()
 	if reply.GetStopping() {
 		delete(p.peers, addr)
 	}
+	heard := p.takeRelayed(start, reply.GetRelayed())
 	p.mu.Unlock()
 	p.Heard(start, addr, reply)
+	for _, h := range heard {
+		p.Heard(h.start, h.addr, h.reply)
+	}
 }
 
 // learn takes what an instance says that it has after a push. One that has less than it was sent has started anew.
@@ -271,68 +244,24 @@
 	} else {
 		x.state = behind
 	}
+	x.has(reply)
 	for _, h := range reply.GetHave() {
-		t := h.GetTopic()
-		if t >= uint32(keyed.Count) {
-			continue
-		}
-		x.ends[t] = h.GetEnd()
-		if h.GetEnd() == 0 || was != unknown && h.GetEnd() < req.GetStreams()[t].GetEnd() {
+		if t := h.GetTopic(); was != unknown && t < uint32(keyed.Count) && h.GetEnd() < req.GetStreams()[t].GetEnd() {
 			x.state = empty
 		}
 	}
 }
 
-// Wait returns when no push is under way.
-func (p *Pusher) Wait() { p.wg.Wait() }
-
-// packFrom is the length from which on values are compressed. Tables of a thousand routes are some 400 KB, and links
-// between regions and of small instances are narrow.
-const packFrom = 2 << 10
-
-// packed holds the last large value that was compressed, since one goes to all instances.
-var packed struct {
-	sync.Mutex
-	offset uint64
-	plain  []byte
-	value  []byte
-}
-
-// pack returns a value as it is sent.
-func pack(e keyed.Entry) (value []byte, isPacked bool) {
-	if len(e.Value) < packFrom {
-		return e.Value, false
-	}
-	packed.Lock()
-	defer packed.Unlock()
-	if packed.offset != e.Offset || !bytes.Equal(packed.plain, e.Value) {
-		packed.offset, packed.plain = e.Offset, e.Value
-		packed.value = fasthttp.AppendGzipBytesLevel(nil, e.Value, fasthttp.CompressDefaultCompression)
-	}
-	return packed.value, true
-}
-
-// Encode returns a batch as a message.
-func Encode(t keyed.Topic, b keyed.Batch, whole bool) *sitepb.Stream {
-	s := &sitepb.Stream{Topic: uint32(t), End: b.End, Whole: whole}
-	for _, e := range b.Entries {
-		value, isPacked := pack(e)
-		s.Entries = append(s.Entries, &sitepb.Entry{Key: e.Key, Offset: e.Offset, Value: value, Packed: isPacked})
-	}
-	return s
-}
-
-// Decode returns the batch of a message.
-func Decode(s *sitepb.Stream) (t keyed.Topic, b keyed.Batch, whole bool, err error) {
-	b.End = s.GetEnd()
-	for _, e := range s.GetEntries() {
-		value := e.GetValue()
-		if e.GetPacked() {
-			if value, err = fasthttp.AppendGunzipBytes(nil, value); err != nil {
-				return 0, keyed.Batch{}, false, errors.Wrapf(err, "value of %q", e.GetKey())
+// has takes how far an instance has each stream.
+func (x *peer) has(reply *sitepb.PushReply) {
+	for _, h := range reply.GetHave() {
+		if t := h.GetTopic(); t < uint32(keyed.Count) {
+			if x.ends[t] = h.GetEnd(); h.GetEnd() == 0 {
+				x.state = empty
 			}
 		}
-		b.Entries = append(b.Entries, keyed.Entry{Key: e.GetKey(), Offset: e.GetOffset(), Value: value})
 	}
-	return keyed.Topic(s.GetTopic()), b, s.GetWhole(), nil
 }
+
+// Wait returns when no push is under way.
+func (p *Pusher) Wait() { p.wg.Wait() }
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -34,8 +34,9 @@
 // Config holds what an instance is told and its seams. All fields are set.
 type Config struct {
 	Self    netip.AddrPort // where other instances connect
+	DC      string
 	Seeds   func() []netip.AddrPort
-	Small   bool          // other instances should lead if they can
+	Small   bool          // other instances should lead and relay if they can
 	HoldMax time.Duration // longest grant that servers accept
 	// Now is a clock that counts while the instance is suspended.
 	Now  func() time.Time
@@ -60,6 +61,7 @@
 	reader *reads.Reader
 	client *spread.Client
 	pusher *spread.Pusher
+	relay  *spread.Relay
 	calls  conc.WaitGroup
 
 	world    atomic.Pointer[state]
@@ -87,6 +89,7 @@
 	unconfirmed time.Duration // of the leader's lease, at the last push
 	asked       time.Time     // last read of the store
 	busy        bool
+	number      uint64 // of the newest push
 	peers       []string
 	started     bool   // the streams were read once
 	startTerm   uint64 // newest term at that time
@@ -105,6 +108,7 @@
 	c.book = &feed.Book{Changed: c.changed, Same: cfg.Same, Quiet: build.Renewal}
 	c.reader = &reads.Reader{Log: cfg.Log, Book: c.book, Events: cfg.Events, Now: cfg.Now}
 	c.pusher = &spread.Pusher{Self: c.tenure.Self, Client: c.client, Book: c.book, Base: c.push, Heard: c.reported}
+	c.relay = spread.NewRelay(c.tenure.Self, c.client, c.book, cfg.Now, func(s []*sitepb.Strike) { cfg.Learn(time.Now(), s) })
 	return c
 }
 
@@ -132,6 +136,7 @@
 	wg.Wait()
 	c.calls.Wait()
 	c.pusher.Wait()
+	c.relay.Wait()
 }
 
 // Leave gives the lead up, if this instance has it, and keeps it from claiming it again.
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -87,16 +87,22 @@
 		}
 		if r.GetTerm() > c.member.term {
 			c.log.Info("leader", "leader", r.GetFrom(), "term", r.GetTerm())
+			c.member.number = 0
 		}
 		c.member.heard, c.member.term = now, r.GetTerm()
 		if len(r.GetPeers()) > 0 {
 			c.member.peers = r.GetPeers()
 		}
-		c.member.unconfirmed = time.Duration(r.GetUnconfirmedMs()) * time.Millisecond
-		c.tenure.Renewed(r.GetFrom(), r.GetTerm(), now.Add(-c.member.unconfirmed))
 		c.peers.Store(int64(max(1, len(c.member.peers))))
-		c.setMoving(r.GetMoving())
+		if r.GetNumber() >= c.member.number {
+			// An older push may arrive over a relay after a newer one of the leader itself.
+			c.member.number = r.GetNumber()
+			c.member.unconfirmed = time.Duration(r.GetUnconfirmedMs()) * time.Millisecond
+			c.tenure.Renewed(r.GetFrom(), r.GetTerm(), r.GetLeadOffset(), now.Add(-c.member.unconfirmed))
+			c.setMoving(r.GetMoving())
+		}
 	}
+	peers := c.member.peers
 	c.mu.Unlock()
 	c.apply(r)
 	c.cfg.Learn(time.Now(), r.GetStrikes())
@@ -109,6 +115,7 @@
 		reply.Have = append(reply.Have, &sitepb.Have{Topic: uint32(t), End: end})
 	}
 	if !stale {
+		c.relay.Pass(now, r, peers, reply)
 		c.cfg.Report(time.Now(), reply)
 	}
 	return reply
@@ -120,6 +127,7 @@
 	defer c.mu.Unlock()
 	r := &sitepb.PushReply{
 		Term: max(c.member.term, c.term()), Stopping: c.stopping.Load(), Stale: stale, StartTerm: c.member.startTerm,
+		Dc: c.cfg.DC, Small: c.cfg.Small,
 	}
 	if !c.member.started {
 		// It may have followed a newer leader in its life before, and has not read of it yet.
@@ -159,6 +167,7 @@
 // silent there as well. c.mu is held.
 func (c *Coord) follow(now time.Time) {
 	silent := now.Sub(c.member.heard)
+	c.relay.Again(now, c.member.peers)
 	if !c.member.started {
 		return
 	}
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -86,6 +86,7 @@
 	for pool, m := range c.build.Owners {
 		c.lead.keepers[pool] = keep.New(m, &c.lead.fence, now, inherited)
 	}
+	c.relay.Only(now, nil)
 	c.pusher.Keep(now, c.member.peers)
 	for _, a := range c.cfg.Seeds() {
 		c.pusher.Keep(now, []string{a.String()})
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -215,8 +215,9 @@
 
 // push returns the leader's news without streams. The pusher calls it during the leader's round, with c.mu held.
 func (c *Coord) push(now time.Time) *sitepb.PushRequest {
+	l, _ := c.tenure.Lead()
 	r := &sitepb.PushRequest{
-		From: c.tenure.Self, Term: c.term(), UnconfirmedMs: c.tenure.Unconfirmed(now).Milliseconds(), Moving: c.moving(now),
+		From: c.tenure.Self, Term: l.Term, LeadOffset: l.Offset, UnconfirmedMs: c.tenure.Unconfirmed(now).Milliseconds(), Moving: c.moving(now),
 	}
 	if c.lead.yielding {
 		r.UnconfirmedMs = resigned.Milliseconds()
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -58,10 +58,10 @@
 	t.lead, t.known, t.since = l, true, now
 }
 
-// Renewed notes the holder's word that the store accepted its latest renewal at that time.
-func (t *Tenure) Renewed(holder string, term uint64, at time.Time) {
-	if t.known && t.lead.Holder == holder && t.lead.Term == term && at.After(t.since) {
-		t.since = at
+// Renewed notes the holder's word that the store accepted its latest renewal at that time and offset.
+func (t *Tenure) Renewed(holder string, term, offset uint64, at time.Time) {
+	if t.known && t.lead.Holder == holder && t.lead.Term == term && offset > t.lead.Offset {
+		t.lead.Offset, t.since = offset, at
 	}
 }
 
--- a/internal/place/tenure/tenure_test.go
+++ b/internal/place/tenure/tenure_test.go
@@ -113,6 +113,29 @@
 	}
 }
 
+// Guards against a late succession: renewals are not passed on, and a member that reads one in the store which it knew from
+// the holder's pushes must not count the silence from then.
+func TestRenewedByWord(t *testing.T) {
+	a, b := &tenure.Tenure{Self: "a"}, &tenure.Tenure{Self: "b"}
+	first := a.Next(1, nil, false)
+	first.Offset = 1
+	b.Observe(epoch, first)
+	b.Renewed("a", first.Term, 5, epoch.Add(3*time.Second))
+	if b.Claimable(epoch.Add(4*time.Second), 0) {
+		t.Error("a lead renewed a second ago can be claimed")
+	}
+	first.Offset = 5
+	b.Observe(epoch.Add(4400*time.Millisecond), first)
+	if !b.Claimable(epoch.Add(4700*time.Millisecond), 0) {
+		t.Error("a lead renewed 1.7s ago cannot be claimed")
+	}
+	b.Renewed("a", first.Term-1, 6, epoch.Add(5*time.Second))
+	b.Renewed("c", first.Term, 6, epoch.Add(5*time.Second))
+	if !b.Claimable(epoch.Add(5*time.Second), 0) {
+		t.Error("the word of another holder counts")
+	}
+}
+
 // exchange is a push of the leader of a term and its answer, on the grid of time of TestWitnesses.
 type exchange struct {
 	member              int
