Compress streams as a whole, and start instances from the leader's state

Cause: at 100 instances half of what crossed the link between the regions was state: 250 KB of servers to each instance at its start, uncompressed, and as much read from the store by each that restarted, so that CONFIG broke after half of them were killed. Each push was encoded anew for each instance. A record of another writer whose key is no text made all pushes fail. A relay's answer for a member whose first push was under way panicked, and conc kept the panic: the leader stood still with its lock held. A claim carries the earlier leader's members, and members count its silence from the leader's word on.

--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -15,7 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
@@ -89,7 +88,7 @@
 	defer stop()
 	var background, servers conc.WaitGroup
 	for _, run := range []func(context.Context){d.folds.Run, d.drive.Run, d.member.Run, d.ledger.Run, d.fetchList, d.gossip} {
-		background.Go(func() { d.guard(func() { run(parts) }) })
+		background.Go(func() { d.log.Guard(func() { run(parts) }) })
 	}
 	peers := d.passer.Server(d.peerHandler())
 	failed := make(chan error, 3)
@@ -112,20 +111,6 @@
 	return errors.CombineErrors(err, d.meter.Close())
 }
 
-// guard ends the process when part of it panics. The part would be missing otherwise while the rest goes on: a
-// controller that answers heartbeats but grants nothing, for example, keeps others from taking its place.
-func (d *daemon) guard(part func()) {
-	var caught panics.Catcher
-	caught.Try(part)
-	if r := caught.Recovered(); r != nil {
-		d.log.Error("panic", "error", r.AsError())
-		os.Exit(exitPanic)
-	}
-}
-
-// exitPanic is the exit code after a panic, the one that the Go runtime uses.
-const exitPanic = 2
-
 // listeners are opened before anything else, so that a start with a wrong address fails at once.
 type listeners struct {
 	caller, peer, admin net.Listener
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -129,7 +129,7 @@
 	s.log.Info("listening", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "ready", s.cfg.Ready, "metrics", s.cfg.Metrics)
 	part, end := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	wg.Go(func() { s.coord.Run(part) })
+	wg.Go(func() { s.log.Guard(func() { s.coord.Run(part) }) })
 	select {
 	case <-ctx.Done():
 		s.stop()
--- a/internal/peer/feed/book.go
+++ b/internal/peer/feed/book.go
@@ -137,6 +137,13 @@
 	return out, s.seq
 }
 
+// Last returns the number of the last change of a topic.
+func (b *Book) Last(topic keyed.Topic) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.streams[topic].seq
+}
+
 // Since returns the entries that changed after change number seq, dropped keys included, and the number of the last
 // change. Numbers are the book's own: records may be applied in another order than that of their offsets.
 func (b *Book) Since(topic keyed.Topic, seq uint64) (batch keyed.Batch, last uint64) {
--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -39,10 +39,10 @@
 	down  bool
 }
 
-// All reads each stream that is not known yet, and reports whether all are.
+// All reads each stream, and reports whether that succeeded.
 func (r *Reader) All(ctx context.Context) bool {
 	for t := range keyed.Count {
-		if _, known := r.Book.End(t); !known && !r.Read(ctx, t, 0) {
+		if !r.Read(ctx, t, 0) {
 			return false
 		}
 	}
--- a/internal/peer/spread/client.go
+++ b/internal/peer/spread/client.go
@@ -49,6 +49,12 @@
 	return c.at(addr).Pull(ctx, &sitepb.PullRequest{From: self})
 }
 
+// Leader asks the instance at addr for the leader and all instances that it knows.
+func (c *Client) Leader(ctx context.Context, addr, self string) (leader string, peers []string, err error) {
+	r, err := c.at(addr).Pull(ctx, &sitepb.PullRequest{From: self, Brief: true})
+	return r.GetFrom(), r.GetPeers(), err
+}
+
 // Handlers answers the calls of other instances. Both fields are set.
 type Handlers struct {
 	OnPush func(*sitepb.PushRequest) *sitepb.PushReply
--- a/internal/peer/spread/relay.go
+++ b/internal/peer/spread/relay.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/bramleycove/bramleycove/internal/peer/feed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
@@ -42,10 +41,13 @@
 }
 
 // NewRelay returns a relay without members. learn takes the strikes that members have seen; they reach the leader with
-// those of the instance itself.
-func NewRelay(self string, client *Client, book *feed.Book, now func() time.Time, learn func([]*sitepb.Strike)) *Relay {
+// those of the instance itself. The relay pushes as leader does otherwise.
+func NewRelay(leader *Pusher, now func() time.Time, learn func([]*sitepb.Strike)) *Relay {
 	r := &Relay{
-		Pusher: Pusher{Self: self, Client: client, Book: book, flat: true, gap: gap / 2}, now: now, learn: learn, heard: make(chan struct{}, 1),
+		Pusher: Pusher{
+			Self: leader.Self, Client: leader.Client, Book: leader.Book, Failed: leader.Failed, Guard: leader.Guard, flat: true, gap: gap / 2,
+		},
+		now: now, learn: learn, heard: make(chan struct{}, 1),
 	}
 	r.Base, r.Heard = r.base, r.answered
 	r.reset()
--- a/internal/peer/spread/relay_test.go
+++ b/internal/peer/spread/relay_test.go
@@ -32,16 +32,10 @@
 
 func listenRelayed(t *testing.T, dc string, small bool) *relayed {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &relayed{addr: ln.Addr().String()}
-	m.relay = spread.NewRelay(m.addr, spread.NewClient(), &m.book, time.Now, func([]*sitepb.Strike) {})
-	h := &spread.Handlers{OnPush: func(r *sitepb.PushRequest) *sitepb.PushReply { return m.push(r, dc, small) }}
-	srv := &fasthttp.Server{Handler: h.Handler()}
-	go func() { _ = srv.Serve(ln) }()
-	t.Cleanup(func() { _ = srv.Shutdown() })
+	m := new(relayed)
+	m.addr = serve(t, func(r *sitepb.PushRequest) *sitepb.PushReply { return m.push(r, dc, small) })
+	m.relay = spread.NewRelay(newPusher(&m.book), time.Now, func([]*sitepb.Strike) {})
+	m.relay.Self = m.addr
 	return m
 }
 
@@ -93,10 +87,7 @@
 	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
 	l := &lead{last: make(map[string]time.Time)}
 	l.Self, l.Client, l.Book = "127.0.0.1:1", spread.NewClient(), book
-	l.Base = func(time.Time) *sitepb.PushRequest {
-		l.pushes.Add(1)
-		return &sitepb.PushRequest{Term: 1, From: l.Self}
-	}
+	l.Base = func(time.Time) *sitepb.PushRequest { return &sitepb.PushRequest{Term: 1, From: l.Self} }
 	l.Heard = func(start time.Time, addr string, r *sitepb.PushReply) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -108,6 +99,11 @@
 			l.answers += int(s.GetAnswers())
 		}
 	}
+	l.Failed = func(string, error) {}
+	l.Guard = func(send func()) {
+		l.pushes.Add(1)
+		send()
+	}
 	for _, m := range members {
 		l.Meet(time.Now(), m.addr)
 	}
@@ -213,3 +209,38 @@
 		}
 	}
 }
+
+// Guards against a leader that stands still because a relay answers for a member whose first direct push is under way: the
+// streams that the member lacked were looked up in a push that had none.
+func TestRelayedDuringFirstPush(t *testing.T) {
+	have := []*sitepb.Have{{Topic: 0, End: 1}, {Topic: 1, End: 1}, {Topic: 2, End: 1}}
+	var pushes atomic.Int64
+	slow := serve(t, func(*sitepb.PushRequest) *sitepb.PushReply {
+		if pushes.Add(1) == 1 {
+			time.Sleep(300 * time.Millisecond)
+		}
+		return &sitepb.PushReply{Dc: "a", Have: have}
+	})
+	via := serve(t, func(*sitepb.PushRequest) *sitepb.PushReply {
+		return &sitepb.PushReply{Dc: "a", Have: have, Relayed: []*sitepb.Relayed{{Member: slow, Reply: &sitepb.PushReply{Dc: "a", Have: have}}}}
+	})
+	l := newLead(t, nil)
+	l.Meet(time.Now(), slow)
+	l.Meet(time.Now(), via)
+	if !l.run(3*time.Second, nil, func() bool { return pushes.Load() >= 3 }) {
+		t.Errorf("%d pushes", pushes.Load())
+	}
+}
+
+// serve returns the address of an instance that answers pushes so.
+func serve(t *testing.T, push func(*sitepb.PushRequest) *sitepb.PushReply) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &fasthttp.Server{Handler: (&spread.Handlers{OnPush: push}).Handler()}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Shutdown() })
+	return ln.Addr().String()
+}
--- a/internal/peer/spread/route.go
+++ b/internal/peer/spread/route.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// relayFrom is the number of instances from which on relays are used. Below, a leader's own pushes cost little, and
+	// RelayFrom is the number of instances from which on relays are used. Below, a leader's own pushes cost little, and
 	// each relay is one more process whose loss delays news.
-	relayFrom = 24
+	RelayFrom = 24
 	// relayGroup is the least number of instances of a data centre that has a relay.
 	relayGroup = 4
 	// relayPatience is how long after its last exchange with a relay a member is left to it: two intervals. It hears from
@@ -32,7 +32,7 @@
 
 // assign chooses the relays and returns the members that each of them serves. p.mu is held.
 func (p *Pusher) assign(now time.Time) map[string][]string {
-	if p.flat || len(p.peers)+1 < relayFrom {
+	if p.flat || len(p.peers)+1 < RelayFrom {
 		p.relays = nil
 		return nil
 	}
@@ -107,10 +107,15 @@
 	return assignment{addr: least, since: now}, true
 }
 
-// covered reports whether a member is left to its relay for now. p.mu is held.
+// covered reports whether a member is left to its relay for now. A new relay, and one that has a new member, is given time
+// from the leader's last own exchange with the member on. p.mu is held.
 func (p *Pusher) covered(now time.Time, addr string, x *peer) bool {
 	r, ok := p.relays[x.dc]
-	if !ok || r.addr == addr || now.Sub(x.relayed) >= relayPatience {
+	reached := x.relayed
+	if (reached.IsZero() || now.Sub(r.since) < relayTrial) && x.heard.After(reached) {
+		reached = x.heard
+	}
+	if !ok || r.addr == addr || now.Sub(reached) >= relayPatience {
 		return false
 	}
 	via := p.peers[r.addr]
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -40,10 +40,14 @@
 	Self   string
 	Client *Client
 	Book   *feed.Book
-	// Base returns a push without streams. It is called for each push.
+	// Base returns a push without streams. It is called at most once in a round.
 	Base func(now time.Time) *sitepb.PushRequest
 	// Heard is called with each answer and the start of its exchange, by the clock of Round.
 	Heard func(start time.Time, addr string, r *sitepb.PushReply)
+	// Failed is called with each push that was not answered.
+	Failed func(addr string, err error)
+	// Guard runs a part in the background and ends the process if that panics.
+	Guard func(part func())
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -141,7 +145,8 @@
 			delete(p.peers, addr)
 		}
 	}
-	serves := p.assign(now)
+	serves, encoded := p.assign(now), make(encodings)
+	var base *sitepb.PushRequest
 	for addr, x := range p.peers {
 		if x.busy || now.Before(x.retry) || now.Sub(x.sent) < cmp.Or(p.gap, gap) || p.covered(now, addr, x) {
 			continue
@@ -150,51 +155,94 @@
 			continue
 		}
 		x.busy, x.sent, x.fresh = true, now, news
-		req := p.Base(now)
+		if base == nil {
+			base = p.Base(now)
+		}
+		req := &sitepb.PushRequest{
+			From: base.From, Term: base.Term, LeadOffset: base.LeadOffset, UnconfirmedMs: base.UnconfirmedMs, Number: base.Number,
+			Moving: base.Moving, Strikes: base.Strikes, Serves: serves[addr],
+		}
 		if req.Number == 0 {
 			p.number++
 			req.Number = p.number
 		}
-		req.Serves = serves[addr]
-		seqs := p.fill(req, x)
+		seqs, state := p.fill(req, x, encoded), x.state
 		if !slices.Equal(x.told, peers) {
 			req.Peers = peers
 		}
-		p.wg.Go(func() { p.send(now, addr, x, req, seqs) })
+		p.wg.Go(func() { p.Guard(func() { p.send(now, addr, x, req, state, seqs) }) })
 	}
 }
 
 func (p *Pusher) behind(x *peer) bool {
 	for t := range keyed.Count {
-		if _, last := p.Book.Since(t, x.seqs[t]); last != x.seqs[t] {
+		if p.Book.Last(t) != x.seqs[t] {
 			return true
 		}
 	}
 	return x.state != current
 }
 
-func (p *Pusher) fill(req *sitepb.PushRequest, x *peer) (seqs [keyed.Count]uint64) {
+// fill adds the streams that x lacks to a push.
+func (p *Pusher) fill(req *sitepb.PushRequest, x *peer, encoded encodings) (seqs [keyed.Count]uint64) {
+	if x.state == unknown {
+		return seqs
+	}
 	for t := range keyed.Count {
-		var batch keyed.Batch
-		switch x.state {
-		case unknown:
-			continue
-		case behind:
-			batch, seqs[t] = p.Book.From(t, x.ends[t])
-		case empty:
-			batch, seqs[t] = p.Book.Since(t, 0)
-		case current:
-			batch, seqs[t] = p.Book.Since(t, x.seqs[t])
-		}
-		if x.state == current && len(batch.Entries) == 0 {
-			batch.End = 0 // the end alone is no news
-		}
-		req.Streams = append(req.Streams, Encode(t, batch, x.state == empty))
+		var s *sitepb.Stream
+		s, seqs[t] = p.stream(lack{t, x.state, x.basis(t)}, encoded)
+		req.Streams = append(req.Streams, s)
 	}
 	return seqs
 }
 
-func (p *Pusher) send(start time.Time, addr string, x *peer, req *sitepb.PushRequest, seqs [keyed.Count]uint64) {
+// basis returns from where on x lacks entries of a topic, as its state counts.
+func (x *peer) basis(t keyed.Topic) uint64 {
+	switch x.state {
+	case behind:
+		return x.ends[t]
+	case current:
+		return x.seqs[t]
+	default:
+		return 0
+	}
+}
+
+// lack is what an instance lacks of a topic.
+type lack struct {
+	topic keyed.Topic
+	state peerState
+	from  uint64 // an offset for one that is behind, else the number of a change
+}
+
+// encodings are the messages of one round. Most instances lack the same, and a thousand servers take milliseconds to encode.
+type encodings map[lack]encoding
+
+type encoding struct {
+	*sitepb.Stream
+	last uint64
+}
+
+func (p *Pusher) stream(l lack, encoded encodings) (s *sitepb.Stream, last uint64) {
+	if e, ok := encoded[l]; ok {
+		return e.Stream, e.last
+	}
+	var batch keyed.Batch
+	if l.state == behind {
+		batch, last = p.Book.From(l.topic, l.from)
+	} else {
+		batch, last = p.Book.Since(l.topic, l.from)
+	}
+	if l.state == current && len(batch.Entries) == 0 {
+		batch.End = 0 // the end alone is no news
+	}
+	s = Encode(l.topic, batch, l.state == empty)
+	encoded[l] = encoding{s, last}
+	return s, last
+}
+
+// send pushes req, which was filled for a peer in the given state.
+func (p *Pusher) send(start time.Time, addr string, x *peer, req *sitepb.PushRequest, state peerState, seqs [keyed.Count]uint64) {
 	size := time.Duration(proto.Size(req)) * time.Second / slowest
 	timeout := callTimeout + size
 	if x.failures == 0 {
@@ -217,13 +265,14 @@
 		// Whether the push arrived is not known; the next one repeats it.
 		x.fresh = 0
 		p.mu.Unlock()
+		p.Failed(addr, err)
 		return
 	}
 	x.heard, x.failures = now, 0
 	if len(req.GetPeers()) > 0 {
 		x.told = req.GetPeers()
 	}
-	x.learn(req, reply, seqs)
+	x.learn(req, reply, state, seqs)
 	x.dc, x.small = reply.GetDc(), reply.GetSmall()
 	if reply.GetStopping() {
 		delete(p.peers, addr)
@@ -237,8 +286,7 @@
 }
 
 // learn takes what an instance says that it has after a push. One that has less than it was sent has started anew.
-func (x *peer) learn(req *sitepb.PushRequest, reply *sitepb.PushReply, seqs [keyed.Count]uint64) {
-	was := x.state
+func (x *peer) learn(req *sitepb.PushRequest, reply *sitepb.PushReply, was peerState, seqs [keyed.Count]uint64) {
 	if was != unknown {
 		x.seqs, x.state = seqs, current
 	} else {
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -1,12 +1,15 @@
 package spread_test
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/peer/feed"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
@@ -74,7 +77,8 @@
 	return &spread.Pusher{
 		Self: "127.0.0.1:1", Client: spread.NewClient(), Book: book,
 		Base:  func(time.Time) *sitepb.PushRequest { return &sitepb.PushRequest{Term: 1} },
-		Heard: func(time.Time, string, *sitepb.PushReply) {},
+		Heard: func(time.Time, string, *sitepb.PushReply) {}, Failed: func(string, error) {},
+		Guard: func(part func()) { part() },
 	}
 }
 
@@ -123,3 +127,38 @@
 		t.Errorf("news took %v", took)
 	}
 }
+
+// Guards against pushes of many small entries that fill the links between regions: the records of a thousand servers went
+// to each instance as they are.
+func TestPacked(t *testing.T) {
+	var b keyed.Batch
+	for i := range 1000 {
+		value := fmt.Sprintf(`{"service":"stock","address":"10.1.%d.%d:8080","zone":"a","slots":3,"state":"ready","seq":%d}`, i/250, i%250, i*7)
+		b.Entries = append(b.Entries, keyed.Entry{Key: fmt.Sprint("i-", i), Offset: uint64(i), Value: []byte(value)})
+	}
+	b.End = 1000
+	plain := 0
+	for _, e := range b.Entries {
+		plain += len(e.Key) + len(e.Value)
+	}
+	s := spread.Encode(keyed.Servers, b, true)
+	if size := proto.Size(s); size > plain/4 {
+		t.Errorf("%d bytes for %d", size, plain)
+	}
+	topic, got, whole, err := spread.Decode(s)
+	if err != nil || topic != keyed.Servers || !whole || !reflect.DeepEqual(got, b) {
+		t.Errorf("decoded %v of %v, whole %v, %d entries to %d: %v", topic, keyed.Servers, whole, len(got.Entries), got.End, err)
+	}
+}
+
+// Guards against one record of another writer, whose key is no text, that keeps the leader from pushing anything.
+func TestForeignKey(t *testing.T) {
+	m, book := listen(t), new(feed.Book)
+	book.Apply(keyed.Config, entry("config", 3, []byte("x")), true)
+	book.Apply(keyed.Servers, entry("\xff\xfe", 5, []byte("x")), true)
+	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	p := newPusher(book)
+	defer p.Wait()
+	p.Meet(time.Now(), m.addr)
+	push(t, p, 3*time.Second, func() bool { return len(m.book.Get(keyed.Servers, "\xff\xfe").Value) == 1 })
+}
--- a/internal/peer/spread/stream.go
+++ b/internal/peer/spread/stream.go
@@ -2,62 +2,77 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
-// packFrom is the length from which on values are compressed. Tables of a thousand routes are some 400 KB, and links
-// between regions and of small instances are narrow.
+// packFrom is the length from which on entries are compressed. The records of a thousand servers or routes are 250 to
+// 400 KB, a tenth of that compressed, and links between regions and of small instances are narrow.
 const packFrom = 2 << 10
 
-// packed holds the last large value that was compressed, since one goes to all instances.
-var packed struct {
+// packed holds the last entries of each topic that were compressed, since the same go to many instances.
+var packed [keyed.Count]struct {
 	sync.Mutex
-	offset uint64
-	plain  []byte
-	value  []byte
+	plain, value []byte
 }
 
-// pack returns a value as it is sent.
-func pack(e keyed.Entry) (value []byte, isPacked bool) {
-	if len(e.Value) < packFrom {
-		return e.Value, false
+// pack compresses the entries of a stream if they are long.
+func pack(t keyed.Topic, s *sitepb.Stream) {
+	if proto.Size(s) < packFrom {
+		return
 	}
-	packed.Lock()
-	defer packed.Unlock()
-	if packed.offset != e.Offset || !bytes.Equal(packed.plain, e.Value) {
-		packed.offset, packed.plain = e.Offset, e.Value
-		packed.value = fasthttp.AppendGzipBytesLevel(nil, e.Value, fasthttp.CompressDefaultCompression)
+	plain, err := proto.Marshal(&sitepb.Stream{Entries: s.GetEntries()})
+	if err != nil {
+		return // the push, which holds them as they are, fails with the same error
 	}
-	return packed.value, true
+	last := &packed[t]
+	last.Lock()
+	defer last.Unlock()
+	if !bytes.Equal(last.plain, plain) {
+		last.plain, last.value = plain, fasthttp.AppendGzipBytesLevel(nil, plain, fasthttp.CompressDefaultCompression)
+	}
+	s.Packed, s.Entries = last.value, nil
 }
 
 // Encode returns a batch as a message.
 func Encode(t keyed.Topic, b keyed.Batch, whole bool) *sitepb.Stream {
 	s := &sitepb.Stream{Topic: uint32(t), End: b.End, Whole: whole}
 	for _, e := range b.Entries {
-		value, isPacked := pack(e)
-		s.Entries = append(s.Entries, &sitepb.Entry{Key: e.Key, Offset: e.Offset, Value: value, Packed: isPacked})
+		s.Entries = append(s.Entries, &sitepb.Entry{Key: []byte(e.Key), Offset: e.Offset, Value: e.Value})
 	}
+	// The same entries are to be the same bytes.
+	slices.SortFunc(s.Entries, func(a, b *sitepb.Entry) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), bytes.Compare(a.Key, b.Key))
+	})
+	pack(t, s)
 	return s
 }
 
 // Decode returns the batch of a message.
 func Decode(s *sitepb.Stream) (t keyed.Topic, b keyed.Batch, whole bool, err error) {
-	b.End = s.GetEnd()
-	for _, e := range s.GetEntries() {
-		value := e.GetValue()
-		if e.GetPacked() {
-			if value, err = fasthttp.AppendGunzipBytes(nil, value); err != nil {
-				return 0, keyed.Batch{}, false, errors.Wrapf(err, "value of %q", e.GetKey())
-			}
+	t, b.End = keyed.Topic(s.GetTopic()), s.GetEnd()
+	entries := s.GetEntries()
+	if len(s.GetPacked()) > 0 {
+		plain, err := fasthttp.AppendGunzipBytes(nil, s.GetPacked())
+		if err != nil {
+			return 0, keyed.Batch{}, false, errors.Wrapf(err, "entries of %v", t)
+		}
+		inner := new(sitepb.Stream)
+		if err := proto.Unmarshal(plain, inner); err != nil {
+			return 0, keyed.Batch{}, false, errors.Wrapf(err, "entries of %v", t)
 		}
-		b.Entries = append(b.Entries, keyed.Entry{Key: e.GetKey(), Offset: e.GetOffset(), Value: value})
+		entries = inner.GetEntries()
+	}
+	for _, e := range entries {
+		b.Entries = append(b.Entries, keyed.Entry{Key: string(e.GetKey()), Offset: e.GetOffset(), Value: e.GetValue()})
 	}
-	return keyed.Topic(s.GetTopic()), b, s.GetWhole(), nil
+	return t, b, s.GetWhole(), nil
 }
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -186,6 +186,15 @@
 	return keyed.Entry{Key: leadKey, Value: value}, errors.Wrap(err, "lead")
 }
 
+// LeadOf returns the lead that a record of the place stream holds, if it holds one.
+func LeadOf(e keyed.Entry) (tenure.Lead, bool) {
+	if e.Key != leadKey {
+		return tenure.Lead{}, false
+	}
+	l, err := decodeLead(e.Value)
+	return l, err == nil
+}
+
 func decodeLead(value []byte) (tenure.Lead, error) {
 	var l sitepb.Lead
 	err := proto.Unmarshal(value, &l)
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -85,6 +85,7 @@
 // member is what a member knows of its leader.
 type member struct {
 	heard       time.Time // last push
+	leader      string
 	term        uint64
 	unconfirmed time.Duration // of the leader's lease, at the last push
 	asked       time.Time     // last read of the store
@@ -107,11 +108,21 @@
 	}
 	c.book = &feed.Book{Changed: c.changed, Same: cfg.Same, Quiet: build.Renewal}
 	c.reader = &reads.Reader{Log: cfg.Log, Book: c.book, Events: cfg.Events, Now: cfg.Now}
-	c.pusher = &spread.Pusher{Self: c.tenure.Self, Client: c.client, Book: c.book, Base: c.push, Heard: c.reported}
-	c.relay = spread.NewRelay(c.tenure.Self, c.client, c.book, cfg.Now, func(s []*sitepb.Strike) { cfg.Learn(time.Now(), s) })
+	c.pusher = &spread.Pusher{Self: c.tenure.Self, Client: c.client, Book: c.book, Base: c.push, Heard: c.reported, Failed: c.unpushed, Guard: c.log.Guard}
+	c.relay = spread.NewRelay(c.pusher, cfg.Now, func(s []*sitepb.Strike) { cfg.Learn(time.Now(), s) })
 	return c
 }
 
+// background runs a call beside the decisions.
+func (c *Coord) background(call func()) {
+	c.calls.Go(func() { c.log.Guard(call) })
+}
+
+// unpushed notes a push that was not answered.
+func (c *Coord) unpushed(addr string, err error) {
+	c.log.Warn("push-failed", "peer", addr, "error", err)
+}
+
 // World returns what is known now, and a channel that is closed when that changes.
 func (c *Coord) World() (*world.World, <-chan struct{}) {
 	st := c.world.Load()
@@ -129,10 +140,14 @@
 // Run takes part until ctx ends.
 func (c *Coord) Run(ctx context.Context) {
 	var wg conc.WaitGroup
-	wg.Go(func() { c.start(ctx) })
-	wg.Go(func() { c.whileLeading(ctx, c.reader.Tables) })
-	wg.Go(func() { c.whileLeading(ctx, c.reader.Poll) })
-	wg.Go(func() { c.decide(ctx) })
+	for _, part := range []func(){
+		func() { c.start(ctx) },
+		func() { c.whileLeading(ctx, c.reader.Tables) },
+		func() { c.whileLeading(ctx, c.reader.Poll) },
+		func() { c.decide(ctx) },
+	} {
+		wg.Go(func() { c.log.Guard(part) })
+	}
 	wg.Wait()
 	c.calls.Wait()
 	c.pusher.Wait()
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -27,7 +27,9 @@
 	}
 	c.pending = true
 	earlier, _ := c.tenure.Lead()
-	next := c.tenure.Next(rand.Uint64(), nil, false)
+	// Until this instance records its own members it has no witnesses. A successor that finds only this claim, whose answer
+	// may be lost, waits for those of the leader before.
+	next := c.tenure.Next(rand.Uint64(), earlier.Members, false)
 	end, _ := c.book.End(keyed.Place)
 	c.mu.Unlock()
 	start := c.cfg.Now()
@@ -180,7 +182,7 @@
 	next := c.tenure.Next(rand.Uint64(), c.pusher.Peers(), c.renewTerm(now))
 	end, _ := c.book.End(keyed.Place)
 	l := c.lead
-	c.calls.Go(func() { c.write(l, end, next, msg, fence) })
+	c.background(func() { c.write(l, end, next, msg, fence) })
 }
 
 // write appends a record and takes the result.
@@ -208,11 +210,12 @@
 		next.Offset = end - 1
 		c.tenure.Confirmed(now, start, next)
 		l.witnesses.Recorded(next.Members)
+		// Members that know each renewal at once do not mistake one that they read later for a sign of life.
+		l.news++
 		if msg != nil {
 			for _, k := range l.keepers {
 				k.Recorded(fence)
 			}
-			l.news++
 		}
 	case msg != nil:
 		for _, k := range l.keepers {
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -142,7 +142,7 @@
 		srv = c.build.Former(orders[0].Owner)
 	}
 	l := c.lead
-	c.calls.Go(func() {
+	c.background(func() {
 		failed := srv == nil
 		for _, o := range orders {
 			start := c.cfg.Now()
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -40,11 +40,12 @@
 type Tenure struct {
 	Self string // address of this instance, unique among those that run
 
-	lead  Lead
-	known bool
-	since time.Time // when the lead was first seen, or last renewed by its holder's word
-	mine  bool
-	sent  time.Time // start of the last confirmed append of this instance
+	lead    Lead
+	known   bool
+	since   time.Time // when the lead was first seen, or last renewed by its holder's word
+	renewed uint64    // offset of that renewal
+	mine    bool
+	sent    time.Time // start of the last confirmed append of this instance
 }
 
 // Observe notes the newest record of the lead.
@@ -55,13 +56,16 @@
 	if l.Holder != t.Self {
 		t.mine = false
 	}
-	t.lead, t.known, t.since = l, true, now
+	if !t.known || l.Offset > t.renewed {
+		t.since = now
+	}
+	t.lead, t.known = l, true
 }
 
-// Renewed notes the holder's word that the store accepted its latest renewal at that time and offset.
-func (t *Tenure) Renewed(holder string, term, offset uint64, at time.Time) {
-	if t.known && t.lead.Holder == holder && t.lead.Term == term && offset > t.lead.Offset {
-		t.lead.Offset, t.since = offset, at
+// Renewed notes the holder's word that the store has a renewal at that offset.
+func (t *Tenure) Renewed(now time.Time, holder string, term, offset uint64) {
+	if t.known && t.lead.Holder == holder && t.lead.Term == term && offset > max(t.renewed, t.lead.Offset) {
+		t.renewed, t.since = offset, now
 	}
 }
 
--- a/internal/place/tenure/tenure_test.go
+++ b/internal/place/tenure/tenure_test.go
@@ -118,19 +118,24 @@
 func TestRenewedByWord(t *testing.T) {
 	a, b := &tenure.Tenure{Self: "a"}, &tenure.Tenure{Self: "b"}
 	first := a.Next(1, nil, false)
-	first.Offset = 1
 	b.Observe(epoch, first)
-	b.Renewed("a", first.Term, 5, epoch.Add(3*time.Second))
+	if b.Claimable(epoch.Add(time.Second), 0) {
+		t.Error("a lead of a second ago, the first record of all, can be claimed")
+	}
+	b.Renewed(epoch.Add(3*time.Second), "a", first.Term, 5)
 	if b.Claimable(epoch.Add(4*time.Second), 0) {
 		t.Error("a lead renewed a second ago can be claimed")
 	}
-	first.Offset = 5
+	first.Offset, first.Members = 5, []string{"a", "b"}
 	b.Observe(epoch.Add(4400*time.Millisecond), first)
+	if l, _ := b.Lead(); len(l.Members) != 2 {
+		t.Error("the record's members do not count, as its holder told of it before")
+	}
 	if !b.Claimable(epoch.Add(4700*time.Millisecond), 0) {
 		t.Error("a lead renewed 1.7s ago cannot be claimed")
 	}
-	b.Renewed("a", first.Term-1, 6, epoch.Add(5*time.Second))
-	b.Renewed("c", first.Term, 6, epoch.Add(5*time.Second))
+	b.Renewed(epoch.Add(5*time.Second), "a", first.Term-1, 6)
+	b.Renewed(epoch.Add(5*time.Second), "c", first.Term, 6)
 	if !b.Claimable(epoch.Add(5*time.Second), 0) {
 		t.Error("the word of another holder counts")
 	}
--- a/test/platf/platf_test.go
+++ b/test/platf/platf_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/stand/proc"
 	"github.com/bramleycove/bramleycove/internal/stand/proxy"
 	"github.com/bramleycove/bramleycove/test/platf"
@@ -393,3 +394,53 @@
 		return true
 	})
 }
+
+// Guards against instances of a large deployment that read all servers from the store when they start: after half of a
+// hundred were killed, these readings filled the link between the regions. Relays pass the news on meanwhile.
+func TestStartFromLeader(t *testing.T) {
+	t.Parallel()
+	d := up(t, spread.RelayFrom, 4)
+	d.run(6)
+	leader := d.leader()
+	var killed []*platf.Instance
+	for _, in := range d.Instances[4:] { // the first three are the seeds
+		if in != leader && len(killed) < 4 {
+			killed = append(killed, in)
+		}
+	}
+	for _, in := range killed {
+		in.Stopped.Store(true)
+		if err := in.Signal(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, in := range killed {
+		if _, err := in.Wait(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if err := in.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.await("the instances are ready again", 5*time.Second, func() bool {
+		for _, in := range killed {
+			if !in.IsReady() {
+				return false
+			}
+		}
+		return true
+	})
+	fromLeader := 0
+	for _, in := range killed {
+		in.Stopped.Store(false)
+		fromLeader += len(in.Lines("event=started-from-leader"))
+	}
+	if fromLeader == 0 {
+		t.Error("all have read the store") // one may, where the machine is too busy for the seeds to answer in time
+	}
+	since := time.Now()
+	time.Sleep(2 * time.Second)
+	d.finish()
+	d.share(since, "/read/", 0.98)
+	d.share(since, "/order/", 0.98)
+}
