Move the start from the leader's state to a package of its own

Change: peer/join finds the leader and waits for its pushes; carry, pick and the schema lose the number of failures.

--- a/internal/flow/carry/carry.go
+++ b/internal/flow/carry/carry.go
@@ -72,7 +72,7 @@
 	Write     func(h *fasthttp.Request, r *work.Request, server string, left time.Duration)
 	Read      func(h *fasthttp.Response) Reply
 	Options   conns.Options
-	// RetryRatio and RetrySlack are the budget of second sends of all instances in RetryWindow.
+	// RetryRatio and RetrySlack are the budget of second sends of all instances: a part of the first ones, and a number beside.
 	RetryRatio, RetrySlack float64
 	// Attempt is called after each send, for logs. It may be nil.
 	// Struck is called when a request seems to have crashed a server. It may be nil.
--- a/internal/flow/carry/report.go
+++ b/internal/flow/carry/report.go
@@ -8,10 +8,9 @@
 
 // Seen is what the instance observed of a server since the last report.
 type Seen struct {
-	Server   string
-	Answers  int
-	Mean     time.Duration
-	Failures int
+	Server  string
+	Answers int
+	Mean    time.Duration
 }
 
 // Report is what one instance tells the leader.
@@ -40,8 +39,8 @@
 		if st == nil {
 			continue
 		}
-		if n, mean, failed := st.Take(); n > 0 || failed > 0 {
-			r.Seen = append(r.Seen, Seen{s.Server, n, mean, failed})
+		if n, mean := st.Take(); n > 0 {
+			r.Seen = append(r.Seen, Seen{s.Server, n, mean})
 		}
 	}
 	for id, st := range c.servers {
--- a/internal/flow/pick/pick.go
+++ b/internal/flow/pick/pick.go
@@ -65,8 +65,8 @@
 	cut      time.Time // when the limit was last lowered
 	next     time.Time // no request before, with a limit below 1
 
-	answers, failed int     // since the last report
-	total           float64 // seconds of those answers
+	answers int     // since the last report
+	total   float64 // seconds of those answers
 }
 
 // Out returns the number of requests under way.
@@ -187,7 +187,6 @@
 	x := 0.0
 	if failed {
 		x = 1
-		s.failed++
 	}
 	s.errors += errorWeight * (x - s.errors)
 }
@@ -207,14 +206,14 @@
 	s.fail(now)
 }
 
-// Take returns the answers since the last call, their mean time and the number of failures.
-func (s *Stat) Take() (answers int, mean time.Duration, failed int) {
-	answers, failed = s.answers, s.failed
+// Take returns the answers since the last call and their mean time.
+func (s *Stat) Take() (answers int, mean time.Duration) {
+	answers = s.answers
 	if answers > 0 {
 		mean = time.Duration(s.total / float64(answers) * float64(time.Second))
 	}
-	s.answers, s.failed, s.total = 0, 0, 0
-	return answers, mean, failed
+	s.answers, s.total = 0, 0
+	return answers, mean
 }
 
 // Wait returns how long a request would take at the server: the usual time, and more for what this instance has waiting
--- a/internal/oper/site/news.go
+++ b/internal/oper/site/news.go
@@ -15,7 +15,7 @@
 	}
 	for _, seen := range rep.Seen {
 		r.Seen = append(r.Seen, &sitepb.Seen{
-			Server: seen.Server, Answers: uint32(seen.Answers), Seconds: seen.Mean.Seconds(), Failures: uint32(seen.Failures),
+			Server: seen.Server, Answers: uint32(seen.Answers), Seconds: seen.Mean.Seconds(),
 		})
 	}
 	r.Strikes = append(r.Strikes, encodeStrikes(rep.Strikes)...)
--- /dev/null
+++ b/internal/peer/join/join.go
@@ -0,0 +1,129 @@
+// Package join lets an instance that starts in a large deployment learn the state from the leader. When half of a hundred
+// instances started at once, their readings of a thousand servers filled the link to the store for seconds.
+package join
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/bramleycove/bramleycove/internal/oper/events"
+	"github.com/bramleycove/bramleycove/internal/peer/feed"
+	"github.com/bramleycove/bramleycove/internal/peer/reads"
+	"github.com/bramleycove/bramleycove/internal/peer/spread"
+	"github.com/bramleycove/bramleycove/internal/place/build"
+	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+)
+
+const (
+	// findTimeout bounds the question who leads: three times the way between regions and back. A starting instance waits.
+	findTimeout = 150 * time.Millisecond
+	// firstPushes bounds the wait for a leader's first pushes, which come at once to an instance that it has met.
+	firstPushes = time.Second
+	// tick is the interval of looking whether they have come.
+	tick = 20 * time.Millisecond
+)
+
+// Joiner starts one instance. All fields are set.
+type Joiner struct {
+	Self   string // address for other instances
+	Seeds  func() []netip.AddrPort
+	Client *spread.Client
+	Log    keyed.Log
+	Reader *reads.Reader
+	Book   *feed.Book
+	Events *events.Logger
+	// Now is a clock that counts while the instance is suspended.
+	Now func() time.Time
+
+	calls conc.WaitGroup
+}
+
+// FromLeader waits for the pushes of the leader or of its relay, and asks the store for what came since. ok is false if
+// there is no leader, if it does not answer, or if the deployment is small.
+func (j *Joiner) FromLeader(ctx context.Context) (leader string, ok bool) {
+	defer j.calls.Wait()
+	leader, peers := j.findLeader(ctx)
+	if leader == "" {
+		leader, peers = j.readLeader(ctx)
+	}
+	if leader == "" || leader == j.Self || len(peers) < spread.RelayFrom {
+		return "", false
+	}
+	if said, _, err := j.Client.Leader(ctx, leader, j.Self); err != nil || said != leader {
+		j.Events.Info("leader-silent", "leader", leader, "said", said, "error", err)
+		return "", false
+	}
+	for deadline := j.Now().Add(firstPushes); !j.knowsAll(); reads.Sleep(ctx, tick) {
+		if ctx.Err() != nil || j.Now().After(deadline) {
+			j.Events.Info("leader-silent", "leader", leader)
+			return "", false
+		}
+	}
+	return leader, j.Reader.Read(ctx, keyed.Config, 0) && j.Reader.Read(ctx, keyed.Place, 0)
+}
+
+// knowsAll reports whether all streams are known.
+func (j *Joiner) knowsAll() bool {
+	for t := range keyed.Count {
+		if _, known := j.Book.End(t); !known {
+			return false
+		}
+	}
+	return true
+}
+
+// readLeader returns the leader and the instances by the last record of the place stream, which always renews the lead.
+func (j *Joiner) readLeader(ctx context.Context) (leader string, peers []string) {
+	ctx, cancel := context.WithTimeout(ctx, reads.Timeout)
+	defer cancel()
+	var batch keyed.Batch
+	// No record is that far, so that the answer only tells the end.
+	end, err := j.Log.Read(ctx, keyed.Place, math.MaxInt64, 0)
+	if err == nil && end.End > 0 {
+		batch, err = j.Log.Read(ctx, keyed.Place, end.End-1, 0)
+	}
+	if err != nil {
+		j.Events.Info("lead-unread", "error", err)
+		return "", nil
+	}
+	for _, e := range batch.Entries {
+		if l, ok := build.LeadOf(e); ok && !l.Resigned {
+			leader, peers = l.Holder, l.Members
+		}
+	}
+	return leader, peers
+}
+
+// findLeader asks all seeds for the leader and the instances and returns the first answer.
+func (j *Joiner) findLeader(ctx context.Context) (leader string, peers []string) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type answer struct {
+		leader string
+		peers  []string
+	}
+	seeds := j.Seeds()
+	answers := make(chan answer, len(seeds))
+	for _, s := range seeds {
+		j.calls.Go(func() {
+			var a answer
+			if addr := s.String(); addr != j.Self {
+				var err error
+				if a.leader, a.peers, err = j.Client.Leader(ctx, addr, j.Self); err != nil {
+					j.Events.Info("seed-silent", "peer", addr, "error", err)
+				}
+			}
+			answers <- a
+		})
+	}
+	for range seeds {
+		if a := <-answers; a.leader != "" {
+			return a.leader, a.peers
+		}
+	}
+	return "", nil
+}
--- a/internal/peer/spread/relay.go
+++ b/internal/peer/spread/relay.go
@@ -145,7 +145,6 @@
 		sum.Seconds = (sum.GetSeconds()*float64(sum.GetAnswers()) + s.GetSeconds()*float64(s.GetAnswers())) / float64(n)
 		sum.Answers = n
 	}
-	sum.Failures += s.GetFailures()
 }
 
 // complete reports whether all members have answered since start.
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/oper/events"
 	"github.com/bramleycove/bramleycove/internal/peer/feed"
+	"github.com/bramleycove/bramleycove/internal/peer/join"
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/place/build"
@@ -62,6 +63,7 @@
 	client *spread.Client
 	pusher *spread.Pusher
 	relay  *spread.Relay
+	joiner *join.Joiner
 	calls  conc.WaitGroup
 
 	world    atomic.Pointer[state]
@@ -110,6 +112,9 @@
 	c.reader = &reads.Reader{Log: cfg.Log, Book: c.book, Events: cfg.Events, Now: cfg.Now}
 	c.pusher = &spread.Pusher{Self: c.tenure.Self, Client: c.client, Book: c.book, Base: c.push, Heard: c.reported, Failed: c.unpushed, Guard: c.log.Guard}
 	c.relay = spread.NewRelay(c.pusher, cfg.Now, func(s []*sitepb.Strike) { cfg.Learn(time.Now(), s) })
+	c.joiner = &join.Joiner{
+		Self: c.tenure.Self, Seeds: cfg.Seeds, Client: c.client, Log: cfg.Log, Reader: c.reader, Book: c.book, Events: c.log, Now: cfg.Now,
+	}
 	return c
 }
 
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
-	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/tenure"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
@@ -19,10 +17,6 @@
 	askEvery = 700 * time.Millisecond
 	// strained is the age of the leader's lease from which on members try to take over: one renewal was missed.
 	strained = 1700 * time.Millisecond
-	// firstPushes bounds the wait for a leader's first pushes, which come at once to an instance that it has met.
-	firstPushes = time.Second
-	// findTimeout bounds the question who leads: three times the way between regions and back. A starting instance waits.
-	findTimeout = 150 * time.Millisecond
 	// successorStep keeps the members apart that try to replace a leader that lives but can't reach the store: each call
 	// is priced, and the store may be away for all.
 	successorStep = 200 * time.Millisecond
@@ -41,28 +35,11 @@
 	c.member.started, c.member.startTerm = done, c.term()
 }
 
-// startFromLeader waits for the pushes of the leader of a large deployment, or of its relay: when half of a hundred
-// instances started at once, their readings of a thousand servers filled the link between the regions for seconds. The
-// store is still asked for what came since, so that the state of a leader that has been succeeded does not count.
+// startFromLeader learns the state from the leader of a large deployment. That of a leader that has been succeeded does not
+// count.
 func (c *Coord) startFromLeader(ctx context.Context) bool {
-	leader, peers := c.findLeader(ctx)
-	if leader == "" {
-		leader, peers = c.readLeader(ctx)
-	}
-	if leader == "" || leader == c.tenure.Self || len(peers) < spread.RelayFrom {
-		return false
-	}
-	if said, _, err := c.client.Leader(ctx, leader, c.tenure.Self); err != nil || said != leader {
-		c.log.Info("leader-silent", "leader", leader, "said", said, "error", err)
-		return false
-	}
-	for deadline := c.cfg.Now().Add(firstPushes); !c.knowsAll(); reads.Sleep(ctx, tick) {
-		if ctx.Err() != nil || c.cfg.Now().After(deadline) {
-			c.log.Info("leader-silent", "leader", leader)
-			return false
-		}
-	}
-	if !c.reader.Read(ctx, keyed.Config, 0) || !c.reader.Read(ctx, keyed.Place, 0) {
+	leader, ok := c.joiner.FromLeader(ctx)
+	if !ok {
 		return false
 	}
 	c.mu.Lock()
@@ -72,68 +49,6 @@
 	return lead.Holder == leader && !lead.Resigned
 }
 
-// knowsAll reports whether all streams are known.
-func (c *Coord) knowsAll() bool {
-	for t := range keyed.Count {
-		if _, known := c.book.End(t); !known {
-			return false
-		}
-	}
-	return true
-}
-
-// readLeader returns the leader and the instances by the last record of the place stream, which always renews the lead.
-func (c *Coord) readLeader(ctx context.Context) (leader string, peers []string) {
-	ctx, cancel := context.WithTimeout(ctx, reads.Timeout)
-	defer cancel()
-	var batch keyed.Batch
-	// No record is that far, so that the answer only tells the end.
-	end, err := c.cfg.Log.Read(ctx, keyed.Place, math.MaxInt64, 0)
-	if err == nil && end.End > 0 {
-		batch, err = c.cfg.Log.Read(ctx, keyed.Place, end.End-1, 0)
-	}
-	if err != nil {
-		c.log.Info("lead-unread", "error", err)
-		return "", nil
-	}
-	for _, e := range batch.Entries {
-		if l, ok := build.LeadOf(e); ok && !l.Resigned {
-			leader, peers = l.Holder, l.Members
-		}
-	}
-	return leader, peers
-}
-
-// findLeader asks all seeds for the leader and the instances and returns the first answer.
-func (c *Coord) findLeader(ctx context.Context) (leader string, peers []string) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	type answer struct {
-		leader string
-		peers  []string
-	}
-	seeds := c.cfg.Seeds()
-	answers := make(chan answer, len(seeds))
-	for _, s := range seeds {
-		c.background(func() {
-			var a answer
-			if addr := s.String(); addr != c.tenure.Self {
-				var err error
-				if a.leader, a.peers, err = c.client.Leader(ctx, addr, c.tenure.Self); err != nil {
-					c.log.Info("seed-silent", "peer", addr, "error", err)
-				}
-			}
-			answers <- a
-		})
-	}
-	for range seeds {
-		if a := <-answers; a.leader != "" {
-			return a.leader, a.peers
-		}
-	}
-	return "", nil
-}
-
 // pullAny asks the seeds and the known instances for their state until one answers with tables.
 func (c *Coord) pullAny(ctx context.Context) bool {
 	c.mu.Lock()
