Keep members' ends of the streams current, and let them read servers later

Cause: pushes without entries left out how far the leader has read, so that each member of a lost leader read all heartbeats since the last change, and all of them did so 1.2 s after the last push. Change: pushes always hold the ends; members of large deployments read the servers themselves after 2.2 s, when a successor has usually done it. Result: spread.TestEndWithoutNews failed before ("not within 3s").

--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -233,9 +233,6 @@
 	} else {
 		batch, last = p.Book.Since(l.topic, l.from)
 	}
-	if l.state == current && len(batch.Entries) == 0 {
-		batch.End = 0 // the end alone is no news
-	}
 	s = Encode(l.topic, batch, l.state == empty)
 	encoded[l] = encoding{s, last}
 	return s, last
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -162,3 +162,23 @@
 	p.Meet(time.Now(), m.addr)
 	push(t, p, 3*time.Second, func() bool { return len(m.book.Get(keyed.Servers, "\xff\xfe").Value) == 1 })
 }
+
+// Guards against members that read all heartbeats of a long time from the store when their leader is lost: heartbeats are
+// not passed on, but how far the leader has read is.
+func TestEndWithoutNews(t *testing.T) {
+	m, book := listen(t), new(feed.Book)
+	book.Same = func(keyed.Topic, []byte, []byte) bool { return true }
+	book.Apply(keyed.Config, entry("config", 3, []byte("x")), true)
+	book.Apply(keyed.Servers, entry("a", 5, []byte("x")), true)
+	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	p := newPusher(book)
+	defer p.Wait()
+	p.Meet(time.Now(), m.addr)
+	end := func() uint64 {
+		end, _ := m.book.End(keyed.Servers)
+		return end
+	}
+	push(t, p, 3*time.Second, func() bool { return end() == 6 })
+	book.Apply(keyed.Servers, entry("a", 500, []byte("heartbeat")), false)
+	push(t, p, 3*time.Second, func() bool { return end() == 501 })
+}
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -15,6 +15,9 @@
 	// askEvery is the interval at which a member without a leader reads the store. The bounds on configuration and on
 	// leaving servers, 2.5 s and more, hold with a reading every second.
 	askEvery = 700 * time.Millisecond
+	// serversPatience is how long the members of a large deployment hear nothing before they read the servers themselves. The
+	// heartbeats since the last push are megabytes for each of them, and a successor reads them for all by then.
+	serversPatience = 2200 * time.Millisecond
 	// strained is the age of the leader's lease from which on members try to take over: one renewal was missed.
 	strained = 1700 * time.Millisecond
 	// successorStep keeps the members apart that try to replace a leader that lives but can't reach the store: each call
@@ -226,7 +229,8 @@
 	lead, known := c.tenure.Lead()
 	claim := c.tenure.Claimable(now, tenure.Rank(c.tenure.Self, lead.Term, c.cfg.Small))
 	// A newer leader that has not been heard of may not reach this instance over the connections that it has.
-	alone := now.Sub(c.member.heard) >= tenure.Silence || lead.Term > c.member.term
+	silent, large := now.Sub(c.member.heard), len(c.member.peers) >= spread.RelayFrom
+	alone := silent >= tenure.Silence || lead.Term > c.member.term
 	c.mu.Unlock()
 	if claim {
 		c.claim(ctx)
@@ -236,7 +240,9 @@
 		return
 	}
 	c.reader.Read(ctx, keyed.Config, 0)
-	c.reader.Servers(ctx)
+	if !large || silent >= serversPatience {
+		c.reader.Servers(ctx)
+	}
 	if known && !lead.Resigned && lead.Holder != c.tenure.Self {
 		c.introduce(ctx, lead.Holder)
 	}
