Merge pushed streams and read leads in one place each

Cause: the rule for merging a push's streams, and for saying how far a copy has each, stood in coord and twice in tests; the record of a lead was read in two ways, one of which dropped its error; the choice of a relay compared in nested branches; tests of spread built the same listener and streams again. A test member reports streams that it can't read, which it ignored before.

--- a/internal/peer/join/join.go
+++ b/internal/peer/join/join.go
@@ -91,7 +91,11 @@
 		return "", nil
 	}
 	for _, e := range batch.Entries {
-		if l, ok := build.LeadOf(e); ok && !l.Resigned {
+		l, ok, err := build.LeadOf(e)
+		switch {
+		case err != nil:
+			j.Events.Info("lead-unread", "error", err)
+		case ok && !l.Resigned:
 			leader, peers = l.Holder, l.Members
 		}
 	}
--- a/internal/peer/spread/relay_test.go
+++ b/internal/peer/spread/relay_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/bramleycove/bramleycove/internal/peer/feed"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
@@ -18,6 +15,7 @@
 
 // relayed is a member that passes pushes on when it is told to.
 type relayed struct {
+	t       *testing.T
 	book    feed.Book
 	addr    string
 	relay   *spread.Relay
@@ -27,12 +25,11 @@
 	heard   time.Time
 	longest time.Duration // between two pushes
 	serves  int           // members that it was told to serve last
-	number  uint64
 }
 
 func listenRelayed(t *testing.T, dc string, small bool) *relayed {
 	t.Helper()
-	m := new(relayed)
+	m := &relayed{t: t}
 	m.addr = serve(t, func(r *sitepb.PushRequest) *sitepb.PushReply { return m.push(r, dc, small) })
 	m.relay = spread.NewRelay(newPusher(&m.book), time.Now, func([]*sitepb.Strike) {})
 	m.relay.Self = m.addr
@@ -48,23 +45,16 @@
 	if !m.heard.IsZero() {
 		m.longest = max(m.longest, now.Sub(m.heard))
 	}
-	m.heard, m.serves, m.number = now, len(r.GetServes()), max(m.number, r.GetNumber())
+	m.heard, m.serves = now, len(r.GetServes())
 	m.mu.Unlock()
-	for _, s := range r.GetStreams() {
-		topic, batch, whole, err := spread.Decode(s)
-		if _, known := m.book.End(topic); err == nil && (known || whole) {
-			m.book.Apply(topic, batch, whole)
-		}
+	if err := spread.Apply(&m.book, r.GetStreams()); err != nil {
+		m.t.Error(err)
 	}
 	reply := &sitepb.PushReply{
-		Term: r.GetTerm(), Dc: dc, Small: small,
+		Term: r.GetTerm(), Dc: dc, Small: small, Have: spread.Have(&m.book),
 		Loads: []*sitepb.KeyLoad{{Pool: "p", Key: 7, Count: 1}},
 		Seen:  []*sitepb.Seen{{Server: "s", Answers: 1, Seconds: 0.25}},
 	}
-	for topic := range keyed.Count {
-		end, _ := m.book.End(topic)
-		reply.Have = append(reply.Have, &sitepb.Have{Topic: uint32(topic), End: end})
-	}
 	m.relay.Pass(now, r, nil, reply)
 	return reply
 }
@@ -81,12 +71,8 @@
 }
 
 func newLead(t *testing.T, members []*relayed) *lead {
-	book := new(feed.Book)
-	book.Apply(keyed.Config, entry("config", 3, []byte("c")), true)
-	book.Apply(keyed.Servers, entry("a", 5, []byte("x")), true)
-	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
 	l := &lead{last: make(map[string]time.Time)}
-	l.Self, l.Client, l.Book = "127.0.0.1:1", spread.NewClient(), book
+	l.Self, l.Client, l.Book = "127.0.0.1:1", spread.NewClient(), newBook([]byte("c"), "a")
 	l.Base = func(time.Time) *sitepb.PushRequest { return &sitepb.PushRequest{Term: 1, From: l.Self} }
 	l.Heard = func(start time.Time, addr string, r *sitepb.PushReply) {
 		l.mu.Lock()
@@ -231,16 +217,3 @@
 		t.Errorf("%d pushes", pushes.Load())
 	}
 }
-
-// serve returns the address of an instance that answers pushes so.
-func serve(t *testing.T, push func(*sitepb.PushRequest) *sitepb.PushReply) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := &fasthttp.Server{Handler: (&spread.Handlers{OnPush: push}).Handler()}
-	go func() { _ = srv.Serve(ln) }()
-	t.Cleanup(func() { _ = srv.Shutdown() })
-	return ln.Addr().String()
-}
--- a/internal/peer/spread/route.go
+++ b/internal/peer/spread/route.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -55,7 +54,7 @@
 		}
 		relays[dc] = r
 		for _, a := range addrs {
-			if x := p.peers[a]; a != r.addr && (x.failures == 0 || now.Sub(x.relayed) < relayPatience) {
+			if x := p.peers[a]; a != r.addr && (x.failures == 0 || x.reached(now)) {
 				serves[r.addr] = append(serves[r.addr], a)
 			}
 		}
@@ -64,6 +63,9 @@
 	return serves
 }
 
+// reached reports whether its relay has reached a member just now.
+func (x *peer) reached(now time.Time) bool { return now.Sub(x.relayed) < relayPatience }
+
 // fit reports whether a relay does its work: it answers, and it reaches members.
 func (p *Pusher) fit(now time.Time, r assignment, addrs []string) bool {
 	x := p.peers[r.addr]
@@ -72,7 +74,7 @@
 	}
 	reached := 0
 	for _, a := range addrs {
-		if now.Sub(p.peers[a].relayed) < relayPatience {
+		if p.peers[a].reached(now) {
 			reached++
 		}
 	}
@@ -84,27 +86,19 @@
 }
 
 // choose returns the relay for a data centre: a large instance that answers, the first by address, so that a new leader
-// chooses the same one.
+// chooses the same one. addrs are in order.
 func (p *Pusher) choose(now time.Time, addrs []string) (assignment, bool) {
-	var fit []string
+	best := ""
 	for _, a := range addrs {
-		if x := p.peers[a]; (x.state == current || x.state == behind) && x.failures == 0 && !now.Before(x.unfit) {
-			fit = append(fit, a)
+		x := p.peers[a]
+		if x.state == unknown || x.state == empty || x.failures > 0 || now.Before(x.unfit) {
+			continue
 		}
-	}
-	if len(fit) == 0 {
-		return assignment{}, false
-	}
-	least := slices.MinFunc(fit, func(a, b string) int {
-		if x, y := p.peers[a], p.peers[b]; x.small != y.small {
-			if x.small {
-				return 1
-			}
-			return -1
+		if best == "" || p.peers[best].small && !x.small {
+			best = a
 		}
-		return cmp.Compare(a, b)
-	})
-	return assignment{addr: least, since: now}, true
+	}
+	return assignment{addr: best, since: now}, best != ""
 }
 
 // covered reports whether a member is left to its relay for now. A new relay, and one that has a new member, is given time
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -27,35 +27,26 @@
 func listen(t *testing.T) *member {
 	t.Helper()
 	m := new(member)
-	h := &spread.Handlers{
-		OnPush: func(r *sitepb.PushRequest) *sitepb.PushReply {
-			reply := &sitepb.PushReply{Term: r.GetTerm()}
-			for _, s := range r.GetStreams() {
-				topic, batch, whole, err := spread.Decode(s)
-				if err != nil {
-					t.Error(err)
-				}
-				if _, known := m.book.End(topic); known || whole {
-					m.book.Apply(topic, batch, whole)
-				}
-			}
-			for topic := range keyed.Count {
-				end, _ := m.book.End(topic)
-				reply.Have = append(reply.Have, &sitepb.Have{Topic: uint32(topic), End: end})
-			}
-			return reply
-		},
-		OnPull: func(*sitepb.PullRequest) *sitepb.PushRequest { return new(sitepb.PushRequest) },
-	}
+	m.addr = serve(t, func(r *sitepb.PushRequest) *sitepb.PushReply {
+		if err := spread.Apply(&m.book, r.GetStreams()); err != nil {
+			t.Error(err)
+		}
+		return &sitepb.PushReply{Term: r.GetTerm(), Have: spread.Have(&m.book)}
+	})
+	return m
+}
+
+// serve returns the address of an instance that answers pushes so.
+func serve(t *testing.T, push func(*sitepb.PushRequest) *sitepb.PushReply) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &fasthttp.Server{Handler: h.Handler()}
+	srv := &fasthttp.Server{Handler: (&spread.Handlers{OnPush: push}).Handler()}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Shutdown() })
-	m.addr = ln.Addr().String()
-	return m
+	return ln.Addr().String()
 }
 
 // push lets a leader push rounds until cond holds or the time is over.
@@ -86,13 +77,19 @@
 	return keyed.Batch{Entries: []keyed.Entry{{Key: key, Offset: offset, Value: value}}, End: offset + 1}
 }
 
+// newBook returns a copy of the streams with tables, one server and a lead.
+func newBook(tables []byte, server string) *feed.Book {
+	book := new(feed.Book)
+	book.Apply(keyed.Config, entry("config", 3, tables), true)
+	book.Apply(keyed.Servers, entry(server, 5, []byte("x")), true)
+	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	return book
+}
+
 // Guards against members that do not get what a new leader knows, large values and later changes included.
 func TestPush(t *testing.T) {
-	m, book := listen(t), new(feed.Book)
 	large := make([]byte, 100<<10)
-	book.Apply(keyed.Config, entry("config", 3, large), true)
-	book.Apply(keyed.Servers, entry("a", 5, []byte("x")), true)
-	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	m, book := listen(t), newBook(large, "a")
 	p := newPusher(book)
 	defer p.Wait()
 	p.Meet(time.Now(), m.addr)
@@ -153,10 +150,7 @@
 
 // Guards against one record of another writer, whose key is no text, that keeps the leader from pushing anything.
 func TestForeignKey(t *testing.T) {
-	m, book := listen(t), new(feed.Book)
-	book.Apply(keyed.Config, entry("config", 3, []byte("x")), true)
-	book.Apply(keyed.Servers, entry("\xff\xfe", 5, []byte("x")), true)
-	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
+	m, book := listen(t), newBook([]byte("x"), "\xff\xfe")
 	p := newPusher(book)
 	defer p.Wait()
 	p.Meet(time.Now(), m.addr)
@@ -166,11 +160,8 @@
 // Guards against members that read all heartbeats of a long time from the store when their leader is lost: heartbeats are
 // not passed on, but how far the leader has read is.
 func TestEndWithoutNews(t *testing.T) {
-	m, book := listen(t), new(feed.Book)
+	m, book := listen(t), newBook([]byte("x"), "a")
 	book.Same = func(keyed.Topic, []byte, []byte) bool { return true }
-	book.Apply(keyed.Config, entry("config", 3, []byte("x")), true)
-	book.Apply(keyed.Servers, entry("a", 5, []byte("x")), true)
-	book.Apply(keyed.Place, entry("lead", 0, []byte("l")), true)
 	p := newPusher(book)
 	defer p.Wait()
 	p.Meet(time.Now(), m.addr)
--- a/internal/peer/spread/stream.go
+++ b/internal/peer/spread/stream.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleycove/bramleycove/internal/peer/feed"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
@@ -56,6 +57,34 @@
 	return s
 }
 
+// Apply merges the streams of a push into a book. Changes of a topic that the book does not know yet are left out, since
+// what came before is missing. The errors of all streams that can't be read are joined; the others are merged.
+func Apply(book *feed.Book, streams []*sitepb.Stream) (err error) {
+	for _, s := range streams {
+		t, batch, whole, bad := Decode(s)
+		if bad != nil {
+			err = errors.CombineErrors(err, bad)
+			continue
+		}
+		if _, known := book.End(t); known || whole {
+			book.Apply(t, batch, whole)
+		}
+	}
+	return err
+}
+
+// Have says how far a book has each stream, 0 for one that it does not know.
+func Have(book *feed.Book) (out []*sitepb.Have) {
+	for t := range keyed.Count {
+		end, known := book.End(t)
+		if !known {
+			end = 0
+		}
+		out = append(out, &sitepb.Have{Topic: uint32(t), End: end})
+	}
+	return out
+}
+
 // Decode returns the batch of a message.
 func Decode(s *sitepb.Stream) (t keyed.Topic, b keyed.Batch, whole bool, err error) {
 	t, b.End = keyed.Topic(s.GetTopic()), s.GetEnd()
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -128,15 +128,13 @@
 }
 
 func (b *Builder) takePlace(e keyed.Entry) error {
-	switch {
-	case e.Key == leadKey:
-		l, err := decodeLead(e.Value)
-		if err != nil {
-			return err
+	if l, ok, err := LeadOf(e); ok {
+		if err == nil {
+			b.Lead(l)
 		}
-		l.Offset = e.Offset
-		b.Lead(l)
-	case strings.HasPrefix(e.Key, chunks.Prefix):
+		return err
+	}
+	if strings.HasPrefix(e.Key, chunks.Prefix) {
 		o := new(sitepb.Owners)
 		if err := proto.Unmarshal(e.Value, o); err != nil {
 			return errors.Wrap(err, "owners")
@@ -186,13 +184,14 @@
 	return keyed.Entry{Key: leadKey, Value: value}, errors.Wrap(err, "lead")
 }
 
-// LeadOf returns the lead that a record of the place stream holds, if it holds one.
-func LeadOf(e keyed.Entry) (tenure.Lead, bool) {
+// LeadOf returns the lead that a record of the place stream holds. ok is false for a record of another kind.
+func LeadOf(e keyed.Entry) (l tenure.Lead, ok bool, err error) {
 	if e.Key != leadKey {
-		return tenure.Lead{}, false
+		return l, false, nil
 	}
-	l, err := decodeLead(e.Value)
-	return l, err == nil
+	l, err = decodeLead(e.Value)
+	l.Offset = e.Offset
+	return l, true, err
 }
 
 func decodeLead(value []byte) (tenure.Lead, error) {
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -81,15 +81,8 @@
 }
 
 func (c *Coord) apply(r *sitepb.PushRequest) {
-	for _, st := range r.GetStreams() {
-		t, batch, whole, err := spread.Decode(st)
-		if err != nil {
-			c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
-			continue
-		}
-		if _, known := c.book.End(t); known || whole {
-			c.book.Apply(t, batch, whole)
-		}
+	if err := spread.Apply(c.book, r.GetStreams()); err != nil {
+		c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
 	}
 }
 
@@ -124,13 +117,7 @@
 	c.apply(r)
 	c.cfg.Learn(time.Now(), r.GetStrikes())
 	reply := c.reply(stale)
-	for t := range keyed.Count {
-		end, known := c.book.End(t)
-		if !known {
-			end = 0
-		}
-		reply.Have = append(reply.Have, &sitepb.Have{Topic: uint32(t), End: end})
-	}
+	reply.Have = spread.Have(c.book)
 	if !stale {
 		c.relay.Pass(now, r, peers, reply)
 		c.cfg.Report(time.Now(), reply)
--- a/internal/stand/proc/process.go
+++ b/internal/stand/proc/process.go
@@ -69,7 +69,7 @@
 		p.fields = fields
 		return nil
 	case <-p.ended:
-		return fmt.Errorf("%s ended before it listened (%s):\n%s", p.Name, p.cmd.ProcessState, p.Tail())
+		return fmt.Errorf("%s ended before it listened (%s):\n%s", p.Name, p.state(), p.Tail())
 	case <-time.After(StartTime):
 		return fmt.Errorf("%s did not listen within %v:\n%s", p.Name, StartTime, p.Tail())
 	}
