Go on without free descriptors, and bound callers' connections

The HTTP server takes "too many open files" for the end of a listener, and the instance stopped; requests still in progress then wrote to the closed log queue and panicked.

Change: edge/accept, moved out of edge/front and shared by both listeners, waits and goes on after failures that pass. Callers' connections take half of the descriptors that the settings state, so that servers, store and other instances can still be reached; from three quarters of that on, connections are closed after their answer. Lines written after the queue was closed are left out and counted. A listener that fails for good now ends the instance gracefully.

--- /dev/null
+++ b/internal/edge/accept/accept_test.go
@@ -0,0 +1,109 @@
+package accept_test
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/edge/accept"
+)
+
+// failing is a listener whose first calls of Accept fail.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errs) == 0 {
+		return f.Listener.Accept()
+	}
+	err := f.errs[0]
+	f.errs = f.errs[1:]
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
+func dial(t *testing.T, ln net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Guards against a process that ends when it runs out of descriptors in a flood of connections: "accept4: too many open
+// files" was taken for the end of the listener.
+func TestPassingFailures(t *testing.T) {
+	failed, resumed := 0, 0
+	l := &accept.Listener{
+		Listener: &failing{listen(t), []error{syscall.EMFILE, syscall.EMFILE, syscall.ECONNABORTED}},
+		Failed:   func(error) { failed++ }, Resumed: func() { resumed++ },
+	}
+	dial(t, l)
+	if _, err := l.Accept(); err != nil || failed != 1 || resumed != 1 {
+		t.Errorf("error %v, %d failures and %d recoveries reported, want one each", err, failed, resumed)
+	}
+	l = &accept.Listener{Listener: &failing{listen(t), []error{syscall.EINVAL}}}
+	if _, err := l.Accept(); err == nil {
+		t.Error("a failure of the listener itself was passed over")
+	}
+}
+
+// Guards against connections without a bound, and against places that are lost or counted twice when one is closed twice.
+func TestLimit(t *testing.T) {
+	l := &accept.Listener{Listener: listen(t), Most: 4, Full: []byte("full")}
+	accepted := make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for i := range 2 {
+		dial(t, l)
+		<-accepted
+		if l.Crowded() {
+			t.Errorf("crowded with %d of 4 connections", i+1)
+		}
+	}
+	dial(t, l)
+	third := <-accepted
+	dial(t, l)
+	<-accepted
+	if !l.Crowded() {
+		t.Error("not crowded with 4 of 4 connections")
+	}
+	if got, err := io.ReadAll(dial(t, l)); err != nil || string(got) != "full" {
+		t.Errorf("the fifth connection got %q, %v", got, err)
+	}
+	for range 2 {
+		_ = third.Close() // once more than needed
+	}
+	dial(t, l)
+	select {
+	case <-accepted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a freed place was not used")
+	}
+	if got, _ := io.ReadAll(dial(t, l)); string(got) != "full" {
+		t.Errorf("a sixth connection got %q", got)
+	}
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/edge/accept"
 	"github.com/bramleycove/bramleycove/internal/flow/carry"
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
@@ -46,14 +47,22 @@
 	concurrency = 4096
 )
 
-// Config holds the seams of an Entry. All fields but Observe are set.
+// full is the answer to a connection beyond the limit. Nothing was read from it, so that its request has not run.
+const full = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Config holds the seams of an Entry. All fields are set unless they say otherwise.
 type Config struct {
-	World func() *world.World
-	Read  func(h *fasthttp.Request, r *work.Request, now time.Time)
-	Write func(h *fasthttp.Response, a *work.Answer, id string)
-	Send  func(now time.Time, x *carry.Call) (work.Answer, error)
-	// Observe is called after each request.
+	// MaxConns is the number of callers' connections that are open at once; 0 means no limit.
+	MaxConns int
+	World    func() *world.World
+	Read     func(h *fasthttp.Request, r *work.Request, now time.Time)
+	Write    func(h *fasthttp.Response, a *work.Answer, id string)
+	Send     func(now time.Time, x *carry.Call) (work.Answer, error)
+	// Observe is called after each request. It may be nil.
 	Observe func(Outcome)
+	// AcceptFailed and AcceptResumed are called when connections can't be accepted for a while. They may be nil.
+	AcceptFailed  func(err error)
+	AcceptResumed func()
 }
 
 // Outcome describes a finished request. Route is nil if none matched, Err if the answer is a server's.
@@ -69,6 +78,7 @@
 type Entry struct {
 	cfg      Config
 	http     *fasthttp.Server
+	accept   accept.Listener
 	stopping atomic.Bool
 	active   atomic.Int64
 }
@@ -76,6 +86,8 @@
 // New returns an entry that does not listen yet.
 func New(cfg Config) *Entry {
 	e := &Entry{cfg: cfg}
+	e.accept.Most, e.accept.Full = cfg.MaxConns, []byte(full)
+	e.accept.Failed, e.accept.Resumed = cfg.AcceptFailed, cfg.AcceptResumed
 	e.http = &fasthttp.Server{
 		Handler: e.handle, ErrorHandler: e.malformed, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader, ReadTimeout: readTime, IdleTimeout: idleTime,
@@ -84,8 +96,11 @@
 	return e
 }
 
-// Serve accepts callers from ln until Stop.
-func (e *Entry) Serve(ln net.Listener) error { return e.http.Serve(ln) }
+// Serve accepts callers from ln until Stop. It is called once.
+func (e *Entry) Serve(ln net.Listener) error {
+	e.accept.Listener = ln
+	return e.http.Serve(&e.accept)
+}
 
 // Leave makes every answer from now on close its connection.
 func (e *Entry) Leave() { e.stopping.Store(true) }
@@ -119,7 +134,7 @@
 		a = problem(out.Err)
 	}
 	e.cfg.Write(&h.Response, &a, x.ID)
-	if e.stopping.Load() {
+	if e.stopping.Load() || e.accept.Crowded() {
 		h.SetConnectionClose()
 	}
 	if e.cfg.Observe != nil {
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -33,6 +33,12 @@
 		},
 		Send: func(_ time.Time, x *carry.Call) (work.Answer, error) { return send(x) },
 	})
+	return e, serveEntry(t, e)
+}
+
+// serveEntry serves e until the test ends and returns the address.
+func serveEntry(t *testing.T, e *entry.Entry) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +56,7 @@
 		_ = e.Stop(ctx)
 		<-done
 	})
-	return e, ln.Addr().String()
+	return ln.Addr().String()
 }
 
 func routes() *world.World {
@@ -182,3 +188,51 @@
 		t.Error(err)
 	}
 }
+
+// Guards against callers that keep all places of an instance between their requests, and against a connection beyond the
+// limit that gets no answer.
+func TestCrowded(t *testing.T) {
+	e := entry.New(entry.Config{
+		MaxConns: 2, World: routes,
+		Read:  func(h *fasthttp.Request, r *work.Request, _ time.Time) { r.ReadRequest(h) },
+		Write: func(h *fasthttp.Response, a *work.Answer, _ string) { a.WriteResponseTo(h) },
+		Send:  func(time.Time, *carry.Call) (work.Answer, error) { return work.Answer{Status: 200}, nil },
+	})
+	ln := serveEntry(t, e)
+	first, err := net.Dial("tcp", ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	br := bufio.NewReader(first)
+	ask := func() (closes bool) {
+		if _, err := first.Write([]byte(get("/a/"))); err != nil {
+			t.Fatal(err)
+		}
+		resp := new(fasthttp.Response)
+		if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+			t.Fatalf("status %d, %v", resp.StatusCode(), err)
+		}
+		return resp.ConnectionClose()
+	}
+	if ask() {
+		t.Error("the only connection of two was closed")
+	}
+	second, err := net.Dial("tcp", ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = second.Close() }()
+	third, err := net.Dial("tcp", ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = third.Close() }()
+	resp := new(fasthttp.Response)
+	if err := resp.Read(bufio.NewReader(third)); err != nil || resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("the connection beyond the limit: status %d, %v", resp.StatusCode(), err)
+	}
+	if !ask() {
+		t.Error("a connection is kept though all places are taken")
+	}
+}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/edge/accept"
 	"github.com/bramleycove/bramleycove/internal/edge/route"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
@@ -28,6 +29,11 @@
 	ReasonRequest    = "bad-request"
 )
 
+// full is the answer to a connection beyond the limit. What it asks for is not known: it may be a resend of work that
+// has run, which must not be called not run.
+const full = "HTTP/1.1 503 Service Unavailable\r\nBramleycove-Verdict: may-have-run\r\nRetry-After: 1\r\n" +
+	"Connection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Config holds limits and seams of a Front. Tables and Send are required.
 type Config struct {
 	DC       string
@@ -112,7 +118,7 @@
 
 // Serve accepts callers from ln until Stop. It returns nil after Stop.
 func (f *Front) Serve(ln net.Listener) error {
-	return f.app.Listener(&bounded{Listener: ln, limit: int64(f.cfg.MaxConns)})
+	return f.app.Listener(&accept.Listener{Listener: ln, Most: f.cfg.MaxConns, Full: []byte(full)})
 }
 
 // Stop ends gracefully: for linger it goes on accepting, while the load balancer still sends, and answers with
--- a/internal/oper/events/queue.go
+++ b/internal/oper/events/queue.go
@@ -24,6 +24,9 @@
 	done  chan struct{}
 	lost  atomic.Int64
 
+	sending sync.RWMutex // held for reading during a send to lines
+	ended   bool
+
 	mu     sync.Mutex
 	tokens float64
 	last   time.Time
@@ -42,6 +45,12 @@
 		q.lost.Add(1)
 		return len(line), nil
 	}
+	q.sending.RLock()
+	defer q.sending.RUnlock()
+	if q.ended {
+		q.lost.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
@@ -78,8 +87,12 @@
 // Lost returns the number of lines left out since the last line that said so.
 func (q *Queue) Lost() int64 { return q.lost.Load() }
 
-// Close writes the lines that wait. No line may be written after it.
+// Close writes the lines that wait. Later ones are left out: requests that were cut off at the end of the grace may still
+// write.
 func (q *Queue) Close() {
+	q.sending.Lock()
+	q.ended = true
+	q.sending.Unlock()
 	close(q.lines)
 	<-q.done
 }
--- a/internal/oper/events/queue_test.go
+++ b/internal/oper/events/queue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +59,30 @@
 		t.Errorf("%d lines written, %d said to be left out, %d to be said, of %d", written, said, q.Lost(), n)
 	}
 }
+
+// Guards against a panic at the end of a process: a request that was cut off writes its line after the queue was closed.
+func TestQueueClosed(t *testing.T) {
+	q := events.NewQueue(new(bytes.Buffer))
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = q.Write([]byte("event=request\n"))
+				}
+			}
+		})
+	}
+	time.Sleep(5 * time.Millisecond)
+	q.Close()
+	time.Sleep(5 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	if q.Lost() == 0 {
+		t.Error("lines after the end are not counted")
+	}
+}
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/edge/accept"
 	"github.com/bramleycove/bramleycove/internal/edge/entry"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
@@ -29,6 +30,8 @@
 	failed chan error
 	all    []*fasthttp.Server
 	wg     conc.WaitGroup
+	lost   func(err error) // connections can't be accepted for now
+	back   func()
 }
 
 func (l *listeners) serve(addr string, handler fasthttp.RequestHandler) error {
@@ -38,7 +41,7 @@
 	}
 	srv := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: 64 << 20}
 	l.all = append(l.all, srv)
-	l.run(func() error { return srv.Serve(ln) })
+	l.run(func() error { return srv.Serve(&accept.Listener{Listener: ln, Failed: l.lost, Resumed: l.back}) })
 	return nil
 }
 
@@ -62,7 +65,7 @@
 
 // listen opens all listeners.
 func (s *Site) listen() (*listeners, error) {
-	l := &listeners{failed: make(chan error, 1)}
+	l := &listeners{failed: make(chan error, 1), lost: s.acceptFailed, back: s.acceptResumed}
 	err := errors.CombineErrors(
 		l.serve(s.cfg.Peers.String(), s.coord.Handlers().Handler()),
 		l.serve(s.cfg.Ready.String(), s.answerReady),
@@ -78,6 +81,10 @@
 	return l, nil
 }
 
+func (s *Site) acceptFailed(err error) { s.log.Warn("accept-failed", "error", err) }
+
+func (s *Site) acceptResumed() { s.log.Info("accept-resumed") }
+
 func (s *Site) answerReady(h *fasthttp.RequestCtx) {
 	if !s.ready() {
 		h.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -29,6 +29,10 @@
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 )
 
+// callersPart is the part of the descriptors that callers' connections may take. The others serve connections to servers,
+// the store and other instances: without these no request is served, and the lead and its grants are lost.
+const callersPart = 0.5
+
 // Config is what an instance is told and the seams to its platform. All fields are set unless they say otherwise.
 type Config struct {
 	Instance               string
@@ -39,6 +43,7 @@
 	Small                  bool          // other instances should lead if they can
 	Grace                  time.Duration // from the signal to stop to the end
 	HoldMax                time.Duration // longest grant that servers accept
+	Descriptors            int           // that the process may have open; 0 if not known
 	RetryRatio, RetrySlack float64
 
 	build.Decoder
@@ -89,7 +94,9 @@
 		},
 	})
 	s.entry = entry.New(entry.Config{
-		World: s.world, Read: cfg.ReadRequest, Write: cfg.WriteAnswer, Send: s.carrier.Send, Observe: s.observed,
+		MaxConns: int(float64(cfg.Descriptors) * callersPart),
+		World:    s.world, Read: cfg.ReadRequest, Write: cfg.WriteAnswer, Send: s.carrier.Send, Observe: s.observed,
+		AcceptFailed: s.acceptFailed, AcceptResumed: s.acceptResumed,
 	})
 	return s
 }
@@ -135,6 +142,7 @@
 		s.stop()
 	case err = <-servers.failed:
 		s.log.Error("listener-failed", "error", err)
+		s.stop()
 	}
 	end()
 	wg.Wait()
