Serve keys sooner after the loss of a leader or a server

Change: a member asks once more as soon as it may claim. The earlier lease counts from its last renewal, or from the last streams that another instance told, since those may end behind a renewal; the time that a grant may be on its way is added. A server at whose address nobody listens for two orders, 0.2 s apart, has ended with what it held.

--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -87,6 +87,7 @@
 // member is what a member knows of its leader.
 type member struct {
 	heard       time.Time // last push
+	told        time.Time // last time that another instance's streams were taken
 	leader      string
 	term        uint64
 	unconfirmed time.Duration // of the leader's lease, at the last push
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -80,7 +80,11 @@
 	return known
 }
 
+// apply takes the streams of another instance. They may end behind a renewal of the lead that is not among them.
 func (c *Coord) apply(r *sitepb.PushRequest) {
+	c.mu.Lock()
+	c.member.told = c.cfg.Now()
+	c.mu.Unlock()
 	if err := spread.Apply(c.book, r.GetStreams()); err != nil {
 		c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
 	}
@@ -192,8 +196,11 @@
 		c.setMoving(nil)
 	}
 	lead, _ := c.tenure.Lead()
-	turn := strained + time.Duration(tenure.Rank(c.tenure.Self, lead.Term, c.cfg.Small))*successorStep
-	if now.Sub(c.member.asked) < askEvery || silent < tenure.Silence && c.member.unconfirmed < turn {
+	rank := tenure.Rank(c.tenure.Self, lead.Term, c.cfg.Small)
+	turn := strained + time.Duration(rank)*successorStep
+	// Keys of a server that is lost with the leader wait for the claim.
+	due := now.Sub(c.member.asked) >= askEvery || c.tenure.Claimable(now, rank) && !c.tenure.Claimable(c.member.asked, rank)
+	if !due || silent < tenure.Silence && c.member.unconfirmed < turn {
 		return
 	}
 	c.member.asked, c.member.busy = now, true
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -26,13 +26,20 @@
 		return
 	}
 	c.pending = true
-	earlier, _ := c.tenure.Lead()
+	earlier, known := c.tenure.Lead()
+	renewed := c.tenure.Renewal()
+	if c.member.told.After(renewed) {
+		renewed = c.member.told
+	}
 	// Until this instance records its own members it has no witnesses. A successor that finds only this claim, whose answer
 	// may be lost, waits for those of the leader before.
 	next := c.tenure.Next(rand.Uint64(), earlier.Members, false)
 	end, _ := c.book.End(keyed.Place)
 	c.mu.Unlock()
 	start := c.cfg.Now()
+	if !known {
+		renewed = start
+	}
 	newEnd, err := c.append(ctx, end, next, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -45,7 +52,7 @@
 	next.Offset = newEnd - 1
 	c.tenure.Confirmed(now, start, next)
 	c.log.Info("claimed", "term", next.Term, "at", end, "fence", c.build.Fence)
-	c.take(now, earlier)
+	c.take(now, earlier, renewed)
 }
 
 // append writes the lead, and the owners if any, at the end of the place stream.
@@ -72,15 +79,15 @@
 	return end, nil
 }
 
-// take begins to lead. The earlier leader may act until its members follow this one, and its grants hold on after that.
-// One that resigned sends no more. c.mu is held.
-func (c *Coord) take(now time.Time, earlier tenure.Lead) {
-	inherited := now.Add(tenure.Extension + c.lasts())
+// take begins to lead. The earlier leader, whose last renewal began before renewed, may act until its members follow this
+// one, and its grants hold on after that. One that resigned sends no more. c.mu is held.
+func (c *Coord) take(now time.Time, earlier tenure.Lead, renewed time.Time) {
+	inherited := renewed.Add(tenure.Extension + orderTimeout + c.lasts())
 	if earlier.Resigned {
 		inherited = now.Add(orderTimeout + c.lasts())
 	}
 	c.lead = &lead{
-		earlier: earlier, witnesses: tenure.NewWitnesses(nil), succession: tenure.NewWitnesses(earlier.Members),
+		earlier: earlier, renewed: renewed, witnesses: tenure.NewWitnesses(nil), succession: tenure.NewWitnesses(earlier.Members),
 		since: now, keepers: make(map[string]*keep.Keeper), gauge: gauge.New(),
 		fence: c.build.Fence,
 	}
@@ -118,7 +125,8 @@
 		return
 	}
 	l.succeeded = true
-	until := tenure.Ended(l.since, l.succession).Add(c.lasts())
+	// A grant that the earlier leader was permitted to send may arrive until its call is given up.
+	until := tenure.Ended(l.renewed, l.succession).Add(orderTimeout + c.lasts())
 	for _, k := range l.keepers {
 		k.Shorten(until)
 	}
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -45,6 +45,7 @@
 	succeeded  bool              // a majority of those follow
 	succession *tenure.Witnesses // members of the earlier lead that follow this one
 	earlier    tenure.Lead       // the lead before this one
+	renewed    time.Time         // no renewal of the earlier lead began later
 	transit    keep.Transit
 	yielding   bool // the lead is being given up: no more orders
 }
@@ -131,6 +132,9 @@
 	if srv.Owner != o {
 		return false, true
 	}
+	if c.lead.reach.Ended(now, o) {
+		return false, true
+	}
 	return !srv.Leaving && !c.lead.reach.Lost(now, o, func() []spans.Owner { return c.build.Incarnations(pool) }), false
 }
 
--- a/internal/place/keep/keep.go
+++ b/internal/place/keep/keep.go
@@ -93,7 +93,7 @@
 	legacy  time.Time   // a grant of an earlier leader may take effect until then
 	taken   bool        // from an earlier leader: the owner held the keys when this one began
 	failed  bool        // the last order failed
-	down    bool        // nobody listened at the server's address when the last order was sent
+	down    bool        // nobody listened at the server's address when the last order to it was sent
 	unused  bool        // no grant with this fence may have reached a server
 }
 
@@ -388,19 +388,22 @@
 		if p.First < o.First || p.Last > o.Last || p.Owner != o.Owner || p.Fence != o.Fence {
 			continue
 		}
-		p.busy, p.down = false, res == Down
+		p.busy = false
 		if o.Kind == Release {
 			k.released(now, p, res, handover)
 		} else {
 			k.granted(start, now, p, o, res)
 		}
 	}
-	if res == Done {
-		return
-	}
-	// The server may have been restarted under its id, and a new life must not get the fences of the old one.
 	for _, p := range k.pieces {
-		if p.Owner == o.Owner && p.state != parted && !p.busy && (!p.unused || res == Fenced) {
+		if p.Owner != o.Owner || p.state == parted {
+			continue
+		}
+		if res != Unsent {
+			p.down = res == Down
+		}
+		// The server may have been restarted under its id, and a new life must not get the fences of the old one.
+		if res != Done && !p.busy && (!p.unused || res == Fenced) {
 			k.refence(p)
 		}
 	}
--- a/internal/place/keep/reach_test.go
+++ b/internal/place/keep/reach_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/place/keep"
+	"github.com/bramleycove/bramleycove/internal/place/shift"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 )
 
@@ -32,3 +33,69 @@
 		t.Error("a server that answers is lost")
 	}
 }
+
+// Guards against a server that counts as ended after a single refused connection, when it is about to listen, and against
+// one that never gets keys again.
+func TestEnded(t *testing.T) {
+	var r keep.Reach
+	o := owner("a")
+	note := func(res keep.Result, after time.Duration) {
+		r.Note(keep.Order{Kind: keep.Grant, Span: spans.Span{Owner: o}}, res, epoch.Add(after))
+	}
+	note(keep.Down, 0)
+	note(keep.Unsent, 50*time.Millisecond)
+	note(keep.Down, 100*time.Millisecond)
+	if r.Ended(epoch.Add(time.Second), o) {
+		t.Error("a server counts as ended after 0.1 s")
+	}
+	note(keep.Down, 250*time.Millisecond)
+	if !r.Ended(epoch.Add(time.Second), o) {
+		t.Error("a server at whose address nobody listened twice, a quarter of a second apart, does not count as ended")
+	}
+	if r.Ended(epoch.Add(10*time.Second), o) {
+		t.Error("a server counts as ended for ten seconds after the last order")
+	}
+	note(keep.Done, 300*time.Millisecond)
+	if r.Ended(epoch.Add(time.Second), o) {
+		t.Error("a server that took an order counts as ended")
+	}
+}
+
+// Guards against keys that stay unserved until the last grant of a crashed server would have ended, 3.3 s, though nobody
+// listens at its address: the process that held them is gone.
+func TestCrashedServer(t *testing.T) {
+	c := &calm{now: epoch}
+	c.Keeper = keep.New(nil, &c.fence, c.now, c.now)
+	a, b := shift.Server{Owner: owner("a"), Capacity: 10, Stays: true}, shift.Server{Owner: owner("b"), Capacity: 10, Stays: true}
+	c.Plan(c.now, []shift.Server{a}, new(shift.Loads), true)
+	c.run(time.Second, accept)
+	var r keep.Reach
+	result := func(o keep.Order) keep.Result {
+		res := keep.Done
+		if o.Server == "a" {
+			res = keep.Down
+		}
+		r.Note(o, res, c.now)
+		return res
+	}
+	crash := c.now
+	c.given = nil
+	served := func() bool {
+		for _, o := range c.given {
+			if o.Server == "b" {
+				return true
+			}
+		}
+		return false
+	}
+	for !served() && c.now.Sub(crash) < 10*time.Second {
+		c.run(100*time.Millisecond, result)
+		c.Observe(c.now, func(o spans.Owner) (bool, bool) { ended := r.Ended(c.now, o); return !ended, ended })
+		if r.Ended(c.now, owner("a")) {
+			c.Plan(c.now, []shift.Server{b}, new(shift.Loads), true)
+		}
+	}
+	if wait := c.now.Sub(crash); wait > 1500*time.Millisecond {
+		t.Errorf("keys went to another server after %v", wait)
+	}
+}
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -69,6 +69,10 @@
 	}
 }
 
+// Renewal returns a time before which the newest known record of the lead was written: when it was first seen, or when
+// its holder told of it.
+func (t *Tenure) Renewal() time.Time { return t.since }
+
 // Lead returns the newest record of the lead and whether there is one.
 func (t *Tenure) Lead() (Lead, bool) { return t.lead, t.known }
 
@@ -98,15 +102,15 @@
 	return ok && now.Sub(since) < Fresh
 }
 
-// Ended returns when an earlier holder has certainly stopped acting, for a successor whose claim was accepted at claim.
-// w are the earlier holder's members that follow the successor.
-func Ended(claim time.Time, w *Witnesses) time.Time {
+// Ended returns when an earlier holder has certainly stopped acting, for a successor whose claim the store accepted. No
+// renewal of the earlier holder began after renewed. w are its members that follow the successor.
+func Ended(renewed time.Time, w *Witnesses) time.Time {
 	// A member may have followed the earlier holder until its exchange with the successor ended.
 	reached, ok := w.reached()
 	if !ok {
-		return claim.Add(Extension)
+		return renewed.Add(Extension)
 	}
-	end := claim.Add(Lease)
+	end := renewed.Add(Lease)
 	if f := reached.Add(Fresh); f.After(end) {
 		end = f
 	}
