Move no keys by load while the store does not answer

Cause: keys that the leader releases for their load have no owner until the next one is recorded, so that each move begun during an outage of the store left its keys unserved until the end.

Change: while the store has not answered the leader for 0.8 s, no moves by load are begun and announced ones are taken back. Leaving and lost servers lose their keys as before.

--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -34,9 +34,17 @@
 	// Now is a clock that counts while the instance is suspended.
 	Now func() time.Time
 
-	mu    sync.Mutex
-	grace feed.Grace
-	down  bool
+	mu       sync.Mutex
+	grace    feed.Grace
+	down     bool
+	answered time.Time
+}
+
+// Unanswered returns the time since the store last answered this instance.
+func (r *Reader) Unanswered(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.answered)
 }
 
 // All reads each stream, and reports whether that succeeded.
@@ -126,10 +134,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil {
-		r.grace.Failed(r.Now())
+	if now := r.Now(); err != nil {
+		r.grace.Failed(now)
 	} else {
-		r.grace.Back(r.Now())
+		r.grace.Back(now)
+		r.answered = now
 	}
 	if r.down == (err != nil) {
 		return
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -22,6 +22,9 @@
 	releaseTimeout = 2500 * time.Millisecond
 	// termPatience is how long a leader goes without a majority of witnesses before it begins a new term.
 	termPatience = 2 * tenure.Fresh
+	// recordable is how long after an answer of the store moves by load are begun. The leader reads it each half second; a slow
+	// one answers within 0.2 s.
+	recordable = 800 * time.Millisecond
 	// appendPause is the least time between two appends, which are priced; the changes of that time share one.
 	appendPause = 80 * time.Millisecond
 	// failPause is the pause after an append that failed.
@@ -54,6 +57,9 @@
 // knows. c.mu is held.
 func (c *Coord) rule(now time.Time) {
 	l := c.lead
+	for _, k := range l.keepers {
+		k.Stay = c.reader.Unanswered(now) > recordable
+	}
 	if now.Sub(l.planned) >= gauge.Every {
 		reply := new(sitepb.PushReply)
 		c.cfg.Report(time.Now(), reply)
--- a/internal/place/keep/keep.go
+++ b/internal/place/keep/keep.go
@@ -101,6 +101,9 @@
 type Keeper struct {
 	// Transit is how long an order may still be on its way when its caller has given it up.
 	Transit time.Duration
+	// Stay tells that assignments can't be recorded for now. Keys that are released then stay without an owner, so that
+	// moves from servers that may keep their keys are not begun.
+	Stay bool
 
 	pieces []*piece
 	fence  *uint64
@@ -231,6 +234,8 @@
 			p.state == held && p.failed && !p.busy && now.After(p.bound):
 			k.part(now, p, "")
 			p.to = spans.Owner{}
+		case p.state == noticed && usable && k.Stay:
+			p.state, p.since, p.to = held, now, spans.Owner{}
 		case !usable && p.state == held && !p.pending:
 			p.state, p.since, p.to = noticed, now, spans.Owner{}
 		}
@@ -243,9 +248,9 @@
 }
 
 // Plan chooses new owners by the load of each key, and returns the moves that it starts. level permits moves by load
-// alone.
+// alone, unless the keys are to stay.
 func (k *Keeper) Plan(now time.Time, servers []shift.Server, loads *shift.Loads, level bool) []shift.Move {
-	moves := shift.Plan(k.settled(), servers, loads, level, k.unsettled)
+	moves := shift.Plan(k.settled(), servers, loads, level && !k.Stay, k.unsettled)
 	for _, mv := range moves {
 		k.move(now, mv)
 	}
--- a/internal/place/keep/keep_test.go
+++ b/internal/place/keep/keep_test.go
@@ -539,3 +539,54 @@
 		t.Errorf("keys were given on after %v", wait)
 	}
 }
+
+// Guards against keys that are released while the store is away: their next owner can't be recorded, and they stay unserved
+// until the store is back.
+func TestStay(t *testing.T) {
+	c := &calm{now: epoch}
+	c.Keeper = keep.New(nil, &c.fence, c.now, c.now)
+	a, b := shift.Server{Owner: owner("a"), Capacity: 10, Stays: true}, shift.Server{Owner: owner("b"), Capacity: 10, Stays: true}
+	c.Plan(c.now, []shift.Server{a}, new(shift.Loads), true)
+	c.run(time.Second, accept)
+	hot := new(shift.Loads)
+	for k := range 20 {
+		hot[k] = 1
+	}
+	usable := func(spans.Owner) (bool, bool) { return true, false }
+	released := func() (n int) {
+		for _, o := range c.given {
+			if o.Kind == keep.Release {
+				n++
+			}
+		}
+		return n
+	}
+	// One move is announced when the store falls silent.
+	if moves := c.Plan(c.now, []shift.Server{a, b}, hot, true); len(moves) == 0 {
+		t.Fatal("an overloaded server beside an idle one loses no keys")
+	}
+	c.Stay = true
+	for range 10 {
+		c.Observe(c.now, usable)
+		c.Plan(c.now, []shift.Server{a, b}, hot, true)
+		c.run(100*time.Millisecond, accept)
+	}
+	if n := released(); n != 0 || len(c.Moving(c.now)) != 0 {
+		t.Errorf("%d releases and moves %v while the store was away", n, c.Moving(c.now))
+	}
+	// A server that leaves loses its keys all the same.
+	c.Observe(c.now, func(o spans.Owner) (bool, bool) { return o.Server != "a", false })
+	c.run(300*time.Millisecond, accept)
+	if released() == 0 {
+		t.Error("a leaving server keeps its keys")
+	}
+	c.Stay = false
+	for range 10 {
+		c.Observe(c.now, usable)
+		c.Plan(c.now, []shift.Server{a, b}, hot, true)
+		c.run(100*time.Millisecond, accept)
+	}
+	if m, _ := c.Map(); len(c.Moving(c.now)) != 0 || m.Find(0) == nil {
+		t.Errorf("moving %v of %v after the store was back", c.Moving(c.now), m)
+	}
+}
