Refuse at once what a full owner of a key refuses

Servers with a long queue reset new connections. A reset counted as a broken server, so that its keys were refused for up to 2 s; from the other region it came after the request was sent, which may then have run for all one knows. A request that its key's owner refused waited 0.4 s for another owner and was refused as if its key moved.

Change: a new connection is watched for its round trip before any request goes out on it. A reset then is a refusal of a full server. Requests are refused at once when the owner of their key is full. A repeatable request whose connection was lost goes to the owner once more, within the budget.

--- a/internal/flow/carry/carry.go
+++ b/internal/flow/carry/carry.go
@@ -130,6 +130,8 @@
 
 	pool  string
 	tried map[string]bool
+	// full tells that the last server said that it is full.
+	full bool
 	// counted tells that the request is part of its key's load.
 	counted bool
 	// ran tells that a server may have begun to run the request.
@@ -144,10 +146,9 @@
 	// freshOnce is how long a connection may be idle for a request that must not run twice: a server may have dropped it
 	// without notice, and the request would then be lost.
 	freshOnce = 700 * time.Millisecond
-	// settleOnce and settleRepeats are how long a new connection is watched before a request goes out on it: servers reset
-	// those beyond their limit. For a request that may run twice only a reset from nearby is worth the wait.
-	settleOnce    = 45 * time.Millisecond
-	settleRepeats = 4 * time.Millisecond
+	// settle is how long a new connection is watched at most before a request goes out on it, the way between regions and
+	// back: servers reset those beyond their limit, and a request that was sent meanwhile may have run for all one knows.
+	settle = 45 * time.Millisecond
 	// leastTime is the time left below which no server is asked any more.
 	leastTime = 20 * time.Millisecond
 )
@@ -274,9 +275,7 @@
 			return t, err
 		}
 		if now.Sub(x.Begun) >= wait || x.Gone.Err() != nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			return nil, work.Refuse(ReasonBusy, c.jittered(busyWait))
+			return nil, c.busy()
 		}
 		time.Sleep(look)
 		now = time.Now()
@@ -321,7 +320,8 @@
 // target is a server that was chosen for a try.
 type target struct {
 	*world.Server
-	server *server
+	server  *server
+	tenancy string // of the key, if the server was chosen as its owner
 }
 
 // owner returns the server that holds the request's key. It waits while the key changes hands.
@@ -344,7 +344,13 @@
 			return nil, work.Refuse(ReasonMoving, run.Until.Sub(now))
 		}
 		if span != nil && run == nil {
-			if s := w.Servers[span.Server]; s != nil && s.Owner == span.Owner && !left(now, s) && !x.tried[s.Server+strconv.FormatUint(span.Fence, 10)] {
+			s := w.Servers[span.Server]
+			usable := s != nil && s.Owner == span.Owner && !left(now, s)
+			switch tried := usable && x.tried[tenancy(s, span.Fence)]; {
+			case tried && x.full:
+				// It holds the key and has no room for more; another owner is not to be expected.
+				return nil, c.busy()
+			case usable && !tried:
 				return c.keyed(now, x, s, span.Fence)
 			}
 		}
@@ -360,6 +366,16 @@
 	}
 }
 
+// tenancy names the time in which a server holds a key with one fence.
+func tenancy(s *world.Server, fence uint64) string { return s.Server + strconv.FormatUint(fence, 10) }
+
+// busy returns the refusal of a request whose servers are full.
+func (c *Carrier) busy() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return work.Refuse(ReasonBusy, c.jittered(busyWait))
+}
+
 // left reports whether a server leaves and its keys should have another owner by now. It gets no request 2.5 s after it
 // said so, of which hearing of it takes up to 1.9 s while the leader is lost.
 func left(now time.Time, s *world.Server) bool {
@@ -393,9 +409,10 @@
 	if !st.Room(now, x.urgent()) {
 		return nil, errFull
 	}
-	x.tried[s.Server+strconv.FormatUint(fence, 10)] = true
+	mark := tenancy(s, fence)
+	x.tried[mark] = true
 	st.Start()
-	return &target{Server: s, server: st}, nil
+	return &target{Server: s, server: st, tenancy: mark}, nil
 }
 
 // count notes the load of a key once for each request.
@@ -450,11 +467,11 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), x.Deadline)
 	defer cancel()
-	idle, settle := freshOnce, settleOnce
+	idle := freshOnce
 	if x.Route.Repeats() {
 		// The work of a caller that has left stops; work that must not be repeated is brought to its end.
 		defer context.AfterFunc(x.Gone, cancel)()
-		idle, settle = time.Hour, settleRepeats
+		idle = time.Hour
 	}
 	h, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(h)
@@ -490,6 +507,9 @@
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonUnsigned)
 	case err == nil:
 		return limit.Done, nil
+	case !sent && (errors.Is(err, conns.ErrReset) || errors.Is(err, syscall.ECONNRESET)):
+		// A server whose queue is long resets new connections.
+		return limit.Shed, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonBusy)
 	case errors.Is(err, conns.ErrLimit):
 		return limit.Neutral, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonBusy)
 	case !sent && ctx.Err() == nil:
@@ -525,9 +545,14 @@
 	case sent && out == limit.Broken && !errors.Is(err, conns.ErrCut) && !errors.Is(err, conns.ErrMismatch):
 		c.checks.Go(func() { c.checkCrash(t, x.Fingerprint) })
 	}
+	x.full = out == limit.Shed
 	if r.Refused != NotOwner && out != limit.Done {
 		x.tried[t.Server.Server] = true
 	}
+	if sent && out == limit.Broken && x.Route.Repeats() {
+		// The connection was at fault, as far as is known; the owner of a key may answer over another one.
+		delete(x.tried, t.tenancy)
+	}
 }
 
 const (
--- a/internal/flow/carry/carry_test.go
+++ b/internal/flow/carry/carry_test.go
@@ -266,6 +266,110 @@
 	}
 }
 
+// owned returns a world in which one server holds all keys.
+func owned(f *fake) *world.World {
+	w := known(true, f)
+	w.Owners = map[string]spans.Map{"p": {{First: 0, Last: spans.Last, Owner: f.Owner, Fence: 1}}}
+	return w
+}
+
+// earn sends requests to f that are served, so that the budget permits a second try.
+func (s *site) earn(t *testing.T, f *fake, then ...string) {
+	t.Helper()
+	for range 20 {
+		if x, err := s.send(context.Background(), true, time.Second); err != nil || x.Status != 200 {
+			t.Fatalf("%d, %v", x.Status, err)
+		}
+	}
+	f.mu.Lock()
+	f.raws = then
+	f.mu.Unlock()
+	f.got.Store(0)
+}
+
+// refusedAtOnce fails the test unless a request is refused as not run by a full server, sooner than a wait for another owner
+// would end.
+func (s *site) refusedAtOnce(t *testing.T) {
+	t.Helper()
+	begun := time.Now()
+	_, err := s.send(context.Background(), false, 2*time.Second)
+	if err == nil {
+		t.Fatal("served by a full server")
+	}
+	e := result.From(err)
+	if took := time.Since(begun); e.Verdict != result.NotRun || e.Status != 503 || e.Reason != carry.ReasonBusy || e.RetryAfter <= 0 || took > 300*time.Millisecond {
+		t.Errorf("%v, status %d, reason %s, wait %v after %v", e.Verdict, e.Status, e.Reason, e.RetryAfter, took)
+	}
+}
+
+// Guards against requests that wait 0.4 s for another owner of their key after its owner has said that it is full.
+func TestFullOwner(t *testing.T) {
+	a := serve(t, "a", ok)
+	s := start(t, owned(a))
+	s.earn(t, a, shed)
+	s.refusedAtOnce(t)
+	if a.got.Load() != 1 {
+		t.Errorf("a full server got a request %d times", a.got.Load())
+	}
+}
+
+// Guards against a server with a long queue, which resets new connections, being taken for a broken one: its keys were
+// refused for seconds, and requests that reached nobody were answered as if they might have run.
+func TestResettingOwner(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	a := &fake{ln: ln, raws: []string{ok}, Server: &world.Server{
+		Owner: spans.Owner{Server: "a", Born: 1}, Pool: "p", Address: netip.MustParseAddrPort(ln.Addr().String()), DC: "a", Slots: 3,
+	}}
+	var full atomic.Bool
+	full.Store(true)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if full.Load() {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+				continue
+			}
+			go a.talk(c)
+		}
+	}()
+	s := start(t, owned(a))
+	for range 5 {
+		s.refusedAtOnce(t)
+	}
+	full.Store(false)
+	time.Sleep(150 * time.Millisecond)
+	if x, err := s.send(context.Background(), false, time.Second); err != nil || x.Status != 200 {
+		t.Errorf("after the queue had shrunk: %d, %v", x.Status, err)
+	}
+}
+
+// Guards against a repeatable request that waits for another owner when its connection was lost, though its key's owner
+// would answer a second try.
+func TestLostConnection(t *testing.T) {
+	a := serve(t, "a", ok)
+	s := start(t, owned(a))
+	s.earn(t, a, none, ok)
+	begun := time.Now()
+	x, err := s.send(context.Background(), false, time.Second)
+	if err != nil || x.Status != 200 || time.Since(begun) > 300*time.Millisecond {
+		t.Errorf("status %d, %v after %v", x.Status, err, time.Since(begun))
+	}
+	if _, err := s.send(context.Background(), true, time.Second); err != nil {
+		t.Error(err)
+	}
+	if a.got.Load() != 3 {
+		t.Errorf("the server got %d requests, want 3", a.got.Load())
+	}
+}
+
 // Guards against requests that go to a leaving owner until somebody moves its keys: the leader may be lost.
 func TestLeavingOwner(t *testing.T) {
 	a := serve(t, "a", ok)
