Bound the moves of a round by the number of servers

Cause: on the grown sites busy keys that lie close together take seconds to be spread, since a round began six moves at most, with 20 servers or with 194.

Change: 0.15 moves for each server, six at least.

--- a/internal/place/shift/shift.go
+++ b/internal/place/shift/shift.go
@@ -24,8 +24,10 @@
 	heavy = 0.4
 	// faster is how much more capacity a server needs to take a heavy key over. Estimates of capacity differ by less.
 	faster = 1.35
-	// maxMoves bounds the moves of one round, so that the next one sees their effect.
-	maxMoves = 6
+	// leastMoves and movesEach bound the moves of one round, so that the next one sees their effect: a number, and a part of the
+	// servers. With many servers a fixed number takes seconds to spread busy keys that lie close together.
+	leastMoves = 6
+	movesEach  = 0.15
 	// maxSpans is the number of spans a server above which only whole spans move.
 	maxSpans = 10
 	// least is the part of a server's capacity below which a move isn't worth its pause.
@@ -243,17 +245,18 @@
 		return cmp.Compare(b.load[y.Owner]/max(y.Capacity, 1e-9), b.load[x.Owner]/max(x.Capacity, 1e-9))
 	})
 	var moves []Move
+	most := max(leastMoves, int(movesEach*float64(len(b.servers))))
 	taken := make(map[spans.Span]bool)
 	for i := range hot {
 		s := &hot[i]
-		if len(moves) >= maxMoves {
+		if len(moves) >= most {
 			break
 		}
 		if !s.Stays || !b.over(s) {
 			continue
 		}
 		for _, p := range m {
-			if p.Owner != s.Owner || frozen(p) || taken[p] || !b.over(s) || len(moves) >= maxMoves {
+			if p.Owner != s.Owner || frozen(p) || taken[p] || !b.over(s) || len(moves) >= most {
 				continue
 			}
 			if mv, ok := b.shedHeavy(s, p); ok {
--- a/internal/place/shift/shift_test.go
+++ b/internal/place/shift/shift_test.go
@@ -83,6 +83,32 @@
 	}
 }
 
+// Guards against busy keys that lie close together and overload some servers of many for seconds: a bounded number of moves
+// in a round took ten rounds with 20 servers and 40 with 130.
+func TestManyServers(t *testing.T) {
+	var capacities []float64
+	for range 130 {
+		capacities = append(capacities, 18)
+	}
+	s := servers(capacities...)
+	m := apply(nil, shift.Plan(nil, s, new(shift.Loads), true, still))
+	l := new(shift.Loads)
+	for i := range 6000 {
+		l[20000+i] = 0.2 // 1200 a second on 12 servers that can run 216
+	}
+	// Rounds are 0.3 s apart; the worst of it has to be over within 3 s.
+	m, _ = settle(m, s, l, 10)
+	over := 0
+	for _, u := range utilisation(m, s, l) {
+		if u > 1 {
+			over++
+		}
+	}
+	if over > 3 {
+		t.Errorf("%d servers are overloaded after ten rounds", over)
+	}
+}
+
 // Guards against a key that is too hot for any server being carried from one to the next: its neighbours leave instead,
 // and only a clearly faster server takes it over.
 func TestHeavyKey(t *testing.T) {
