Give the lead up when told to stop during an append, and end within the grace

A leader that was told to stop while it renewed its lead gave nothing up: it went on giving orders until the end, and its calls, releases of up to 2.5 s among them, outlast the 0.4 s that are left after the last request. The others learnt of it by its silence.

Change: the leader begins no further orders and waits for the append that is under way before it writes its resignation. The process ends 0.15 s before the grace does, with calls under way if there are any.

--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -23,6 +23,8 @@
 	linger = 3500 * time.Millisecond
 	// lastWords is kept of the time until the platform kills the process.
 	lastWords = 400 * time.Millisecond
+	// exitTime is kept for the end of the process itself: the last lines of the log.
+	exitTime = 150 * time.Millisecond
 )
 
 // listeners are the servers of an instance besides the one for callers.
@@ -101,8 +103,9 @@
 }
 
 // stop ends gracefully: the balancer is told first, requests go on until it has noticed, and what is in progress is
-// finished. A leader leaves its role first, so that keys are not without one for long.
-func (s *Site) stop() {
+// finished. A leader leaves its role first, so that keys are not without one for long. It returns when the platform kills
+// the process.
+func (s *Site) stop() (killed time.Time) {
 	begin := time.Now()
 	s.stopping.Store(true)
 	s.log.Info("stopping", "active", s.entry.Active())
@@ -110,11 +113,13 @@
 	s.entry.Leave()
 	grace := s.currentGrace()
 	time.Sleep(min(linger, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-lastWords))
+	killed = begin.Add(grace)
+	ctx, cancel := context.WithDeadline(context.Background(), killed.Add(-lastWords))
 	defer cancel()
 	if err := s.entry.Stop(ctx); err != nil {
 		s.log.Warn("cut", "active", s.entry.Active(), "error", err)
 	}
+	return killed
 }
 
 // attempted counts each send and logs those that fail.
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -139,15 +139,24 @@
 	wg.Go(func() { s.log.Guard(func() { s.coord.Run(part) }) })
 	select {
 	case <-ctx.Done():
-		s.stop()
 	case err = <-servers.failed:
 		s.log.Error("listener-failed", "error", err)
-		s.stop()
 	}
+	killed := s.stop()
 	end()
-	wg.Wait()
-	s.carrier.Close()
-	servers.close()
+	done := make(chan struct{})
+	go s.log.Guard(func() {
+		defer close(done)
+		wg.Wait()
+		s.carrier.Close()
+		servers.close()
+	})
+	select {
+	case <-done:
+	case <-time.After(time.Until(killed) - exitTime):
+		// Nobody waits for the calls that are still under way.
+		s.log.Warn("calls-abandoned", "instance", s.cfg.Instance)
+	}
 	s.log.Info("stopped", "instance", s.cfg.Instance)
 	return err
 }
--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -1,10 +1,13 @@
 package coord_test
 
 import (
+	"context"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/coord"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
@@ -22,3 +25,79 @@
 		t.Errorf("stale %v, started in term %d", r.GetStale(), r.GetStartTerm())
 	}
 }
+
+// record is a stream in memory whose appends take a while. Reads never show anything new.
+type record struct {
+	takes time.Duration
+
+	mu      sync.Mutex
+	busy    bool
+	entries []keyed.Entry
+}
+
+func (r *record) log() keyed.Log {
+	return keyed.Log{
+		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) { return keyed.Batch{}, nil },
+		Read: func(ctx context.Context, _ keyed.Topic, from uint64, wait time.Duration) (keyed.Batch, error) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			return keyed.Batch{End: from}, nil
+		},
+		Append: func(_ context.Context, _ keyed.Topic, at int64, entries []keyed.Entry) (uint64, error) {
+			r.mu.Lock()
+			r.busy = true
+			r.mu.Unlock()
+			time.Sleep(r.takes)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.busy = false
+			if at != int64(len(r.entries)) {
+				return 0, &keyed.ErrConflict{End: uint64(len(r.entries))}
+			}
+			r.entries = append(r.entries, entries...)
+			return uint64(len(r.entries)), nil
+		},
+	}
+}
+
+// appending reports whether an append is under way after n records.
+func (r *record) appending(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.busy && len(r.entries) >= n
+}
+
+// Guards against a leader that is told to stop while it renews its lead, and goes on leading until it is killed: its calls
+// outlast the grace, and the others notice only by its silence.
+func TestLeaveDuringRenewal(t *testing.T) {
+	r := &record{takes: 300 * time.Millisecond}
+	c := coord.New(coord.Config{
+		Self: netip.MustParseAddrPort("127.0.0.1:1"), Seeds: func() []netip.AddrPort { return nil }, Now: time.Now, Log: r.log(),
+		Same:    func(keyed.Topic, []byte, []byte) bool { return false },
+		Report:  func(time.Time, *sitepb.PushReply) {},
+		Strikes: func(time.Time) []*sitepb.Strike { return nil },
+		Learn:   func(time.Time, []*sitepb.Strike) {},
+	})
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Run(ctx)
+	}()
+	for start := time.Now(); !r.appending(1); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > 20*time.Second {
+			t.Fatal("the lead is not renewed")
+		}
+	}
+	c.Leave()
+	end()
+	<-done
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, ok, err := build.LeadOf(r.entries[len(r.entries)-1])
+	if err != nil || !ok || !last.Resigned {
+		t.Errorf("the last of %d records is %+v, %v", len(r.entries), last, err)
+	}
+}
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -236,11 +236,20 @@
 func (c *Coord) yield() {
 	c.mu.Lock()
 	l := c.lead
-	if l == nil || c.pending {
+	if l != nil {
+		l.yielding = true
+	}
+	for c.lead != nil && c.pending {
+		// An append is under way and ends within its timeout. No other one begins.
+		c.mu.Unlock()
+		time.Sleep(tick / 2)
+		c.mu.Lock()
+	}
+	if l == nil || c.lead != l {
 		c.mu.Unlock()
 		return
 	}
-	c.pending, l.yielding = true, true
+	c.pending = true
 	next := c.tenure.Next(rand.Uint64(), c.pusher.Peers(), false)
 	next.Resigned = true
 	end, _ := c.book.End(keyed.Place)
