Know sooner when an earlier leader has stopped, and lead on without the store while stopping

The leader was told to stop during an outage of the store and gave its lead up, though nobody could claim it: keys lapsed, and were without an owner for 3.5 s. The next leader found that five servers had ended and waited 5.2 s for grants of the earlier one: it counted witnesses from when they followed itself, not from when they had last followed the other, and each push as possible news of a renewal.

Change: a leader that stops leads on while the store does not answer, until its grace ends. Members say how long ago they last followed a leader of a lower term or started. Answers of members that come later shorten the wait. Pushes that say nothing new of the lead and the owners no longer count as possible renewals.

--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -109,12 +109,15 @@
 	begin := time.Now()
 	s.stopping.Store(true)
 	s.log.Info("stopping", "active", s.entry.Active())
-	s.coord.Leave()
 	s.entry.Leave()
 	grace := s.currentGrace()
-	time.Sleep(min(linger, grace/2))
 	killed = begin.Add(grace)
-	ctx, cancel := context.WithDeadline(context.Background(), killed.Add(-lastWords))
+	last := killed.Add(-lastWords)
+	var leaving conc.WaitGroup
+	defer leaving.Wait()
+	leaving.Go(func() { s.coord.Leave(last) })
+	time.Sleep(min(linger, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
 	if err := s.entry.Stop(ctx); err != nil {
 		s.log.Warn("cut", "active", s.entry.Active(), "error", err)
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -87,7 +87,9 @@
 // member is what a member knows of its leader.
 type member struct {
 	heard       time.Time // last push
-	told        time.Time // last time that another instance's streams were taken
+	told        time.Time // last time that another instance told of records of the lead and the owners
+	followed    time.Time // last push of the leader that it follows, or its start
+	earlier     time.Time // last push of a leader of a lower term, or its start
 	leader      string
 	term        uint64
 	unconfirmed time.Duration // of the leader's lease, at the last push
@@ -105,7 +107,9 @@
 	c.world.Store(&state{World: new(world.World), next: make(chan struct{})})
 	c.peers.Store(1)
 	c.tenure.Self = cfg.Self.String()
-	c.member.heard = cfg.Now().Add(-tenure.Silence)
+	// An earlier life of this instance may have followed until it ended.
+	c.member.followed, c.member.earlier = cfg.Now(), cfg.Now()
+	c.member.heard = c.member.followed.Add(-tenure.Silence)
 	c.build = build.Builder{
 		Decoder: cfg.Decoder, Log: cfg.Events, Lead: func(l tenure.Lead) { c.tenure.Observe(cfg.Now(), l) },
 	}
@@ -160,12 +164,25 @@
 	c.relay.Wait()
 }
 
-// Leave gives the lead up, if this instance has it, and keeps it from claiming it again.
-func (c *Coord) Leave() {
+// Leave gives the lead up, if this instance has it, and keeps it from claiming it again. While the store is away nobody
+// could succeed it, so that it leads on until then or until the time given.
+func (c *Coord) Leave(until time.Time) {
 	c.stopping.Store(true)
+	for c.leads() && c.reader.Unanswered(c.cfg.Now()) > recordable {
+		if !time.Now().Before(until) {
+			return
+		}
+		time.Sleep(tick)
+	}
 	c.yield()
 }
 
+func (c *Coord) leads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lead != nil
+}
+
 // changed takes new entries of a stream. The book calls it in order.
 func (c *Coord) changed(topic keyed.Topic, entries []keyed.Entry) {
 	c.mu.Lock()
@@ -211,10 +228,7 @@
 // whileLeading calls read again and again while this instance leads.
 func (c *Coord) whileLeading(ctx context.Context, read func(context.Context)) {
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		leads := c.lead != nil
-		c.mu.Unlock()
-		if leads {
+		if c.leads() {
 			read(ctx)
 		} else {
 			reads.Sleep(ctx, idlePause)
--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -32,9 +32,16 @@
 
 	mu      sync.Mutex
 	busy    bool
+	away    bool
 	entries []keyed.Entry
 }
 
+func (r *record) setAway(away bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = away
+}
+
 func (r *record) log() keyed.Log {
 	return keyed.Log{
 		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) { return keyed.Batch{}, nil },
@@ -43,6 +50,11 @@
 			case <-ctx.Done():
 			case <-time.After(wait):
 			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.away {
+				return keyed.Batch{}, &keyed.ErrRefused{Status: 503}
+			}
 			return keyed.Batch{End: from}, nil
 		},
 		Append: func(_ context.Context, _ keyed.Topic, at int64, entries []keyed.Entry) (uint64, error) {
@@ -53,6 +65,9 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.busy = false
+			if r.away {
+				return 0, &keyed.ErrRefused{Status: 503}
+			}
 			if at != int64(len(r.entries)) {
 				return 0, &keyed.ErrConflict{End: uint64(len(r.entries))}
 			}
@@ -69,11 +84,10 @@
 	return r.busy && len(r.entries) >= n
 }
 
-// Guards against a leader that is told to stop while it renews its lead, and goes on leading until it is killed: its calls
-// outlast the grace, and the others notice only by its silence.
-func TestLeaveDuringRenewal(t *testing.T) {
-	r := &record{takes: 300 * time.Millisecond}
-	c := coord.New(coord.Config{
+// runLeader runs an instance without others until it has renewed its lead once. The call that it returns ends it.
+func runLeader(t *testing.T, r *record) (c *coord.Coord, stop func()) {
+	t.Helper()
+	c = coord.New(coord.Config{
 		Self: netip.MustParseAddrPort("127.0.0.1:1"), Seeds: func() []netip.AddrPort { return nil }, Now: time.Now, Log: r.log(),
 		Same:    func(keyed.Topic, []byte, []byte) bool { return false },
 		Report:  func(time.Time, *sitepb.PushReply) {},
@@ -91,9 +105,15 @@
 			t.Fatal("the lead is not renewed")
 		}
 	}
-	c.Leave()
-	end()
-	<-done
+	return c, func() {
+		end()
+		<-done
+	}
+}
+
+// resigned fails the test unless the last record gives the lead up.
+func (r *record) resigned(t *testing.T) {
+	t.Helper()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last, ok, err := build.LeadOf(r.entries[len(r.entries)-1])
@@ -101,3 +121,40 @@
 		t.Errorf("the last of %d records is %+v, %v", len(r.entries), last, err)
 	}
 }
+
+// Guards against a leader that is told to stop while it renews its lead, and goes on leading until it is killed: its calls
+// outlast the grace, and the others notice only by its silence.
+func TestLeaveDuringRenewal(t *testing.T) {
+	r := &record{takes: 300 * time.Millisecond}
+	c, stop := runLeader(t, r)
+	c.Leave(time.Now().Add(time.Second))
+	stop()
+	r.resigned(t)
+}
+
+// Guards against a deployment without a leader for as long as the store is away, because the leader was told to stop: nobody
+// can claim the lead meanwhile, and all keys lapse.
+func TestLeaveWithoutStore(t *testing.T) {
+	r := &record{takes: 20 * time.Millisecond}
+	c, stop := runLeader(t, r)
+	r.setAway(true)
+	time.Sleep(time.Second)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		c.Leave(time.Now().Add(20 * time.Second))
+	}()
+	time.Sleep(500 * time.Millisecond)
+	// A leader refuses the pushes of another one of its term.
+	if !c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:2", Term: 1}).GetStale() {
+		t.Error("the leader left while the store was away")
+	}
+	r.setAway(false)
+	select {
+	case <-left:
+	case <-time.After(10 * time.Second):
+		t.Error("the leader did not leave when the store was back")
+	}
+	stop()
+	r.resigned(t)
+}
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -82,12 +82,23 @@
 
 // apply takes the streams of another instance. They may end behind a renewal of the lead that is not among them.
 func (c *Coord) apply(r *sitepb.PushRequest) {
+	before, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
-	c.member.told = c.cfg.Now()
+	now, told := c.cfg.Now(), c.member.told
+	c.member.told = now
 	c.mu.Unlock()
 	if err := spread.Apply(c.book, r.GetStreams()); err != nil {
 		c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
 	}
+	if after, _ := c.book.End(keyed.Place); after != before {
+		return
+	}
+	// Nothing was told of the lead, so that the time of before holds.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.member.told.Equal(now) {
+		c.member.told = told
+	}
 }
 
 // pushed takes the news of the leader.
@@ -101,8 +112,9 @@
 		}
 		if r.GetTerm() > c.member.term {
 			c.log.Info("leader", "leader", r.GetFrom(), "term", r.GetTerm())
-			c.member.number = 0
+			c.member.number, c.member.earlier = 0, c.member.followed
 		}
+		c.member.followed = now
 		c.member.heard, c.member.term, c.member.leader = now, r.GetTerm(), r.GetFrom()
 		if len(r.GetPeers()) > 0 {
 			c.member.peers = r.GetPeers()
@@ -135,7 +147,7 @@
 	defer c.mu.Unlock()
 	r := &sitepb.PushReply{
 		Term: max(c.member.term, c.term()), Stopping: c.stopping.Load(), Stale: stale, StartTerm: c.member.startTerm,
-		Dc: c.cfg.DC, Small: c.cfg.Small,
+		Dc: c.cfg.DC, Small: c.cfg.Small, EarlierMs: c.cfg.Now().Sub(c.member.earlier).Milliseconds(),
 	}
 	if !c.member.started {
 		// It may have followed a newer leader in its life before, and has not read of it yet.
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -91,7 +91,7 @@
 		since: now, keepers: make(map[string]*keep.Keeper), gauge: gauge.New(),
 		fence: c.build.Fence,
 	}
-	c.lead.succession.Follows(c.tenure.Self, now, now)
+	c.lead.succession.Follows(c.tenure.Self, now, c.member.followed)
 	for pool, m := range c.build.Owners {
 		c.lead.keepers[pool] = keep.New(m, &c.lead.fence, now, inherited)
 	}
@@ -115,18 +115,19 @@
 		return
 	}
 	if r.GetStartTerm() < c.term() {
-		l.witnesses.Follows(addr, start, now)
+		l.witnesses.Follows(addr, start, start)
 	}
-	if l.succeeded {
-		return
-	}
-	l.succession.Follows(addr, start, now)
+	l.succession.Follows(addr, start, now.Add(-time.Duration(r.GetEarlierMs())*time.Millisecond))
 	if _, ok := l.succession.Majority(); !ok {
 		return
 	}
-	l.succeeded = true
 	// A grant that the earlier leader was permitted to send may arrive until its call is given up.
 	until := tenure.Ended(l.renewed, l.succession).Add(orderTimeout + c.lasts())
+	if !l.inherited.IsZero() && l.inherited.Sub(until) < tick {
+		return
+	}
+	// Members that answer later may know better: those that were restarted count from their start.
+	l.inherited = until
 	for _, k := range l.keepers {
 		k.Shorten(until)
 	}
@@ -151,6 +152,7 @@
 	c.log.Warn("lead-lost", "term", c.term(), "unconfirmed", c.tenure.Unconfirmed(now))
 	c.lead = nil
 	c.tenure.Lost()
+	c.member.followed = now // itself
 	c.member.heard = now.Add(-tenure.Silence)
 	c.setMoving(nil)
 }
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -45,7 +45,7 @@
 	peers      []string
 	tried      time.Time         // last append
 	witnesses  *tenure.Witnesses // members that follow, with what is needed for them to keep the lead in force
-	succeeded  bool              // a majority of those follow
+	inherited  time.Time         // grants of earlier leads have ended then; zero until a majority of the succession follows
 	succession *tenure.Witnesses // members of the earlier lead that follow this one
 	earlier    tenure.Lead       // the lead before this one
 	renewed    time.Time         // no renewal of the earlier lead began later
--- a/internal/place/tenure/quorum.go
+++ b/internal/place/tenure/quorum.go
@@ -13,8 +13,9 @@
 	words   map[string]word
 }
 
-// word is an exchange in which a member followed.
-type word struct{ start, end time.Time }
+// word is what a member said in the latest exchange in which it followed. The exchange began at start; the member has followed
+// no earlier holder since earlier.
+type word struct{ start, earlier time.Time }
 
 // NewWitnesses returns witnesses that were not heard of yet.
 func NewWitnesses(members []string) *Witnesses {
@@ -24,10 +25,11 @@
 // Recorded replaces the members by those that the store has with the lead now.
 func (w *Witnesses) Recorded(members []string) { w.members = members }
 
-// Follows notes that an instance followed in an exchange between start and end. It counts if it is a member.
-func (w *Witnesses) Follows(member string, start, end time.Time) {
+// Follows notes that an instance followed in an exchange that began at start, and has followed no earlier holder since
+// earlier. It counts if it is a member.
+func (w *Witnesses) Follows(member string, start, earlier time.Time) {
 	if start.After(w.words[member].start) {
-		w.words[member] = word{start, end}
+		w.words[member] = word{start, earlier}
 	}
 }
 
@@ -36,9 +38,9 @@
 	return w.nth(func(x word) time.Time { return x.start }, func(a, b time.Time) int { return b.Compare(a) })
 }
 
-// reached returns when more than half of the members had certainly begun to follow.
-func (w *Witnesses) reached() (at time.Time, ok bool) {
-	return w.nth(func(x word) time.Time { return x.end }, time.Time.Compare)
+// left returns since when more than half of the members have certainly followed no earlier holder.
+func (w *Witnesses) left() (at time.Time, ok bool) {
+	return w.nth(func(x word) time.Time { return x.earlier }, time.Time.Compare)
 }
 
 // nth returns the time of the member that completes a majority, in the given order.
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -105,13 +105,12 @@
 // Ended returns when an earlier holder has certainly stopped acting, for a successor whose claim the store accepted. No
 // renewal of the earlier holder began after renewed. w are its members that follow the successor.
 func Ended(renewed time.Time, w *Witnesses) time.Time {
-	// A member may have followed the earlier holder until its exchange with the successor ended.
-	reached, ok := w.reached()
+	left, ok := w.left()
 	if !ok {
 		return renewed.Add(Extension)
 	}
 	end := renewed.Add(Lease)
-	if f := reached.Add(Fresh); f.After(end) {
+	if f := left.Add(Fresh); f.After(end) {
 		end = f
 	}
 	return end
--- a/internal/place/tenure/tenure_test.go
+++ b/internal/place/tenure/tenure_test.go
@@ -146,7 +146,8 @@
 	member              int
 	term                uint64
 	start, arrival, end time.Time
-	taken               bool // the member follows, and is a witness
+	earlier             time.Time // last push of the old leader that the member took, or its start
+	taken               bool      // the member follows, and is a witness
 }
 
 func newExchange(rng *rand.Rand, now time.Time, member int, term uint64) exchange {
@@ -165,9 +166,10 @@
 		members := make([]string, n)
 		follows := make([]uint64, n) // newest term that a member follows
 		starts := make([]uint64, n)  // term at its start
+		earlier := make([]time.Time, n)
 		for i := range members {
 			members[i] = fmt.Sprint("m", i)
-			follows[i] = 1
+			follows[i], earlier[i] = 1, epoch
 		}
 		old, succession := tenure.NewWitnesses(members), tenure.NewWitnesses(members)
 		a := &tenure.Tenure{Self: "a"}
@@ -190,7 +192,7 @@
 				}
 			case 2: // a restart, at which the member may or may not reach the store
 				if rng.IntN(4) == 0 {
-					starts[i], follows[i] = 1, 1
+					starts[i], follows[i], earlier[i] = 1, 1, now
 					if claimed && rng.IntN(2) == 0 {
 						starts[i], follows[i] = 2, 2
 					}
@@ -201,12 +203,16 @@
 				switch {
 				case now.Equal(x.arrival):
 					follows[x.member] = max(follows[x.member], x.term)
+					if follows[x.member] == 1 {
+						earlier[x.member] = now
+					}
+					x.earlier = earlier[x.member]
 					x.taken = follows[x.member] == x.term && starts[x.member] < x.term
 				case !now.Equal(x.end) || !x.taken:
 				case x.term == 1:
-					old.Follows(members[x.member], x.start, x.end)
+					old.Follows(members[x.member], x.start, x.start)
 				default:
-					succession.Follows(members[x.member], x.start, x.end)
+					succession.Follows(members[x.member], x.start, x.earlier)
 				}
 			}
 			if _, ok := succession.Majority(); ok && !known {
@@ -222,8 +228,8 @@
 	})
 }
 
-// Guards against a successor that counts a member from the start of a push, when that member goes on to follow the earlier
-// holder until the push arrives.
+// Guards against a successor that counts on a member from its own claim on, when that member goes on to follow the earlier
+// holder until the successor's push arrives.
 func TestEndedAfterLatePush(t *testing.T) {
 	members := []string{"holder", "successor", "member"}
 	holder, old, succession := &tenure.Tenure{Self: "holder"}, tenure.NewWitnesses(members), tenure.NewWitnesses(members)
@@ -231,13 +237,13 @@
 	first.Offset = 1
 	holder.Confirmed(epoch, epoch, first)
 	claim := epoch.Add(2 * time.Second)
-	succession.Follows("successor", claim, claim)
+	succession.Follows("successor", claim, epoch)
 	// The successor's push takes 700 ms to arrive, the holder's overtakes it.
 	start := claim.Add(1500 * time.Millisecond)
 	overtaking, arrival := start.Add(600*time.Millisecond), start.Add(700*time.Millisecond)
 	old.Follows("holder", overtaking, overtaking)
-	old.Follows("member", overtaking, overtaking.Add(50*time.Millisecond))
-	succession.Follows("member", start, arrival)
+	old.Follows("member", overtaking, overtaking)
+	succession.Follows("member", arrival, overtaking.Add(20*time.Millisecond))
 	ended := tenure.Ended(epoch, succession)
 	if at := ended.Add(time.Millisecond); holder.Holds(at, old) {
 		t.Errorf("the holder acts %v after the claim, counted on as ended after %v", at.Sub(claim), ended.Sub(claim))
@@ -245,15 +251,28 @@
 }
 
 // Guards against keys of a lost server that stay unserved for longer than needed after a change of leader: the lease of the
-// earlier holder was counted from the claim, though its renewals had ended seconds before.
+// earlier holder was counted from the claim, though its renewals had ended seconds before, and its witnesses from when they
+// followed the successor, though they had not heard from it since.
 func TestEndedAfterSilence(t *testing.T) {
 	members := []string{"holder", "successor", "member"}
 	succession := tenure.NewWitnesses(members)
-	claim := epoch.Add(1700 * time.Millisecond)
-	succession.Follows("successor", claim, claim)
-	succession.Follows("member", claim, claim.Add(50*time.Millisecond))
-	if wait := tenure.Ended(epoch, succession).Sub(claim); wait > tenure.Fresh+50*time.Millisecond {
-		t.Errorf("the holder counts as acting until %v after the claim", wait)
+	for silence, want := range map[time.Duration]time.Duration{
+		1700 * time.Millisecond: tenure.Lease, 6 * time.Second: tenure.Lease, 0: tenure.Lease,
+	} {
+		claim := epoch.Add(silence)
+		succession.Follows("successor", claim, epoch.Add(300*time.Millisecond))
+		succession.Follows("member", claim, epoch.Add(200*time.Millisecond))
+		if end := tenure.Ended(epoch, succession).Sub(epoch); end != want {
+			t.Errorf("claimed after %v: the holder counts as acting for %v after its last renewal, want %v", silence, end, want)
+		}
+	}
+	// A member that heard from the holder long after its last renewal kept it in its lead until a second after that.
+	succession = tenure.NewWitnesses(members)
+	last := epoch.Add(4 * time.Second)
+	succession.Follows("successor", last, last)
+	succession.Follows("member", last, last)
+	if end := tenure.Ended(epoch, succession); !end.Equal(last.Add(tenure.Fresh)) {
+		t.Errorf("the holder counts as acting until %v", end.Sub(epoch))
 	}
 }
 
