Keep keys at servers that answer requests, and send four orders to one at a time

Change: a server whose answers the members have reported within the last second is not lost; its grants are tried on. Orders to one server, renewals aside, are given four at a time, and the client has a connection for each and one for renewals.

--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -141,7 +141,9 @@
 	if c.lead.reach.Ended(now, o) {
 		return false, true
 	}
-	return !srv.Leaving && !c.lead.reach.Lost(now, o, func() []spans.Owner { return c.build.Incarnations(pool) }), false
+	// One with a long queue may leave orders unanswered while it serves. Its keys are better there until its grants end.
+	lost := c.lead.reach.Lost(now, o, func() []spans.Owner { return c.build.Incarnations(pool) }) && !c.lead.gauge.Answers(o.Server)
+	return !srv.Leaving && !lost, false
 }
 
 // order carries out orders to one server, one after the other. After one that failed the rest is not sent. c.mu is held.
--- a/internal/place/gauge/gauge.go
+++ b/internal/place/gauge/gauge.go
@@ -19,6 +19,8 @@
 	decay = 0.8
 	// weight of the latest turn in the mean answer time and rate of a server.
 	weight = 0.15
+	// idleTurns is the number of turns without an answer after which a server may be unreachable: more than a second.
+	idleTurns = 4
 	// usualTime is the answer time of a server while none has reported.
 	usualTime = 150 * time.Millisecond
 	// lowest and highest bound what is believed of a server, as parts of the usual capacity.
@@ -60,6 +62,13 @@
 	}
 	v.answers += n
 	v.total += time.Duration(n) * mean
+	v.idle = 0
+}
+
+// Answers reports whether a server has answered requests just now.
+func (g *Gauge) Answers(server string) bool {
+	v := g.speeds[server]
+	return v != nil && v.idle < idleTurns
 }
 
 // Take adds the report of an instance.
@@ -140,6 +149,7 @@
 	total   time.Duration // of those answers
 	mean    time.Duration // answer time
 	rate    float64       // answers a second
+	idle    int           // turns since the last answer
 }
 
 func (v *speed) turn() {
@@ -152,6 +162,7 @@
 		v.mean += time.Duration(weight * float64(mean-v.mean))
 	}
 	v.answers, v.total = 0, 0
+	v.idle++
 }
 
 // capacity returns the requests a second that the server can run: what its slots yield at its answer time, or what it
--- a/internal/place/gauge/gauge_test.go
+++ b/internal/place/gauge/gauge_test.go
@@ -60,3 +60,22 @@
 	// 10.0 true
 	// 10.0 true
 }
+
+// Guards against an overloaded server that leaves orders unanswered and is taken for lost while it answers requests.
+func TestAnswers(t *testing.T) {
+	g := gauge.New()
+	if g.Answers("a") {
+		t.Error("a server that was never used answers")
+	}
+	g.Answered("a", 1, 400*time.Millisecond)
+	g.Turn()
+	g.Turn()
+	if !g.Answers("a") {
+		t.Error("a server that answered 0.6 s ago does not answer")
+	}
+	g.Turn()
+	g.Turn()
+	if g.Answers("a") {
+		t.Error("a server that was silent for 1.2 s answers")
+	}
+}
--- a/internal/place/keep/keep.go
+++ b/internal/place/keep/keep.go
@@ -23,6 +23,9 @@
 	margin = 50 * time.Millisecond
 	// retryAfter is the pause after a failed order.
 	retryAfter = 250 * time.Millisecond
+	// ordersEach bounds the orders to one server that are under way. The client has as many connections to each, and an order
+	// beyond them fails.
+	ordersEach = 4
 	// notice is how long before a release the instances are told that keys move, so that their requests wait instead of
 	// being refused by the old owner. It covers the way between regions and a tick of the leader.
 	notice = 130 * time.Millisecond
@@ -347,10 +350,15 @@
 // Due returns the orders to send now, with grants for hold.
 func (k *Keeper) Due(now time.Time, hold time.Duration) (out []Order) {
 	k.assign(now)
-	granting := make(map[spans.Owner]bool)
+	granting, busy := make(map[spans.Owner]bool), make(map[spans.Owner]int)
 	for _, p := range k.pieces {
-		if p.busy && p.state != releasing && !p.unused {
+		if !p.busy {
+			continue
+		}
+		if renewal := p.state != releasing && !p.unused; renewal {
 			granting[p.Owner] = true
+		} else {
+			busy[p.Owner]++
 		}
 	}
 	for _, p := range k.pieces {
@@ -360,13 +368,21 @@
 		if p.busy || now.Before(p.retry) || p.Server == "" {
 			continue
 		}
+		renewal := p.state != releasing && !p.unused
+		if !renewal && busy[p.Owner] >= ordersEach {
+			continue
+		}
 		switch {
 		case p.state == releasing:
 			p.busy = true
+			busy[p.Owner]++
 			out = append(out, Order{Kind: Release, Span: p.Span})
 		case (p.state == held || p.state == noticed) && !p.pending && now.Sub(p.renewed) >= renew && (p.unused || !granting[p.Owner]):
 			p.busy = true
-			out = append(out, Order{Kind: Grant, Span: p.Span, Hold: hold, Renewal: !p.unused})
+			if !renewal {
+				busy[p.Owner]++
+			}
+			out = append(out, Order{Kind: Grant, Span: p.Span, Hold: hold, Renewal: renewal})
 		}
 	}
 	return out
--- a/internal/place/keep/keep_test.go
+++ b/internal/place/keep/keep_test.go
@@ -590,3 +590,36 @@
 		t.Errorf("moving %v of %v after the store was back", c.Moving(c.now), m)
 	}
 }
+
+// Guards against orders that fail for want of a connection and are repeated a quarter of a second later: the keys of a server
+// that loses many ranges at once stayed unserved meanwhile.
+func TestOrdersEach(t *testing.T) {
+	fence := uint64(0)
+	m := make([]spans.Span, 0, 12)
+	for i := range 12 {
+		m = append(m, spans.Span{First: uint16(i * 5000), Last: uint16(i*5000 + 4999), Owner: owner("a"), Fence: uint64(i + 1)})
+	}
+	k := keep.New(m, &fence, epoch, epoch)
+	k.Recording()
+	k.Recorded(fence)
+	var under []keep.Order
+	for at := epoch; at.Before(epoch.Add(time.Second)); at = at.Add(50 * time.Millisecond) {
+		under = append(under, k.Due(at, keep.Hold)...)
+		if len(under) > 4 {
+			t.Fatalf("%d orders to one server at once", len(under))
+		}
+		for _, o := range under {
+			k.Finish(at, at, o, keep.Done, "")
+		}
+		under = under[:0]
+	}
+	if mv := k.Moving(epoch.Add(time.Second)); len(mv) != 0 {
+		t.Errorf("not granted within a second: %v", mv)
+	}
+	k.Observe(epoch.Add(time.Second), func(spans.Owner) (bool, bool) { return false, false })
+	for i := range 3 {
+		if n := len(k.Due(epoch.Add(time.Second+time.Duration(i+3)*50*time.Millisecond), keep.Hold)); n > 4 {
+			t.Errorf("%d releases at once", n)
+		}
+	}
+}
