Deal keys when servers have registered

Keys were first dealt 1.5 s after the first lead, to those servers that had registered by then: one to six of twenty, since they come over two seconds. The others were given keys under load, in the first six seconds of traffic.

Change: the keys of a pool without owners are dealt when no server of it has registered for 1.2 s, after 4 s at most.

--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -88,7 +88,7 @@
 	}
 	c.lead = &lead{
 		earlier: earlier, renewed: renewed, witnesses: tenure.NewWitnesses(nil), succession: tenure.NewWitnesses(earlier.Members),
-		since: now, keepers: make(map[string]*keep.Keeper), gauge: gauge.New(),
+		since: now, keepers: make(map[string]*keep.Keeper), gather: make(map[string]*keep.Gather), gauge: gauge.New(),
 		fence: c.build.Fence,
 	}
 	c.lead.succession.Follows(c.tenure.Self, now, c.member.followed)
--- a/internal/place/coord/rule.go
+++ b/internal/place/coord/rule.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// settle is how long the first leader waits for servers to register before it deals the keys.
+	// settle is how long a leader waits for its members' word before it looks whether too few of them are witnesses.
 	settle = 1500 * time.Millisecond
 	// orderTimeout bounds a grant; the next one is due soon after it.
 	orderTimeout = 700 * time.Millisecond
@@ -37,6 +37,7 @@
 type lead struct {
 	since      time.Time
 	keepers    map[string]*keep.Keeper
+	gather     map[string]*keep.Gather // pools without owners
 	gauge      *gauge.Gauge
 	reach      keep.Reach
 	planned    time.Time
@@ -119,11 +120,19 @@
 
 // openKeepers starts a keeper for each keyed pool that has none. c.mu is held.
 func (c *Coord) openKeepers(now time.Time) {
-	if c.build.Tables == nil || now.Sub(c.lead.since) < settle && len(c.lead.keepers) == 0 && c.build.Owners == nil {
+	if c.build.Tables == nil {
 		return
 	}
 	for _, p := range c.build.Tables.Pools {
-		if p.Keyed && c.lead.keepers[p.Name] == nil {
+		if !p.Keyed || c.lead.keepers[p.Name] != nil {
+			continue
+		}
+		g := c.lead.gather[p.Name]
+		if g == nil {
+			g = new(keep.Gather)
+			c.lead.gather[p.Name] = g
+		}
+		if g.Ready(now, len(c.build.Pool(p.Name))) {
 			c.lead.keepers[p.Name] = keep.New(nil, &c.lead.fence, now, now)
 		}
 	}
--- /dev/null
+++ b/internal/place/keep/gather_test.go
@@ -0,0 +1,35 @@
+package keep_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/place/keep"
+)
+
+// Guards against keys that are all dealt to the first server that registers: the others get theirs under load, seconds later.
+func TestGather(t *testing.T) {
+	at := func(d time.Duration) time.Time { return epoch.Add(d) }
+	var g keep.Gather
+	if g.Ready(at(0), 0) || g.Ready(at(5*time.Second), 0) {
+		t.Error("keys are dealt to no server")
+	}
+	for i, want := range []bool{false, false, false, false} {
+		if got := g.Ready(at(5*time.Second+time.Duration(i)*500*time.Millisecond), 1+4*i); got != want {
+			t.Errorf("step %d: ready %v", i, got)
+		}
+	}
+	if g.Ready(at(7500*time.Millisecond), 13) || !g.Ready(at(7800*time.Millisecond), 13) {
+		t.Error("not dealt 1.2 s after the last server, or sooner")
+	}
+	var joining keep.Gather
+	ready := time.Duration(0)
+	for d := time.Duration(0); ready == 0 && d < time.Minute; d += 500 * time.Millisecond {
+		if joining.Ready(at(d), 1+int(d/time.Second)) {
+			ready = d
+		}
+	}
+	if ready < 3*time.Second || ready > 5*time.Second {
+		t.Errorf("dealt after %v while servers go on joining", ready)
+	}
+}
