Let the age of the leader's lease grow between its pushes

Members take the age of the lease from the last push, which comes each 0.35 s, so that the one to succeed looked at the store up to that much late.

Change: the time since the last push is added.

Measured: TestLeaderWithoutStore fails without the change.

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/coord"
+	"github.com/bramleycove/bramleycove/internal/place/tenure"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
@@ -33,6 +35,7 @@
 	mu      sync.Mutex
 	busy    bool
 	away    bool
+	read    time.Time // last read of the owners
 	entries []keyed.Entry
 }
 
@@ -45,13 +48,16 @@
 func (r *record) log() keyed.Log {
 	return keyed.Log{
 		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) { return keyed.Batch{}, nil },
-		Read: func(ctx context.Context, _ keyed.Topic, from uint64, wait time.Duration) (keyed.Batch, error) {
+		Read: func(ctx context.Context, topic keyed.Topic, from uint64, wait time.Duration) (keyed.Batch, error) {
 			select {
 			case <-ctx.Done():
 			case <-time.After(wait):
 			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			if topic == keyed.Place {
+				r.read = time.Now()
+			}
 			if r.away {
 				return keyed.Batch{}, &keyed.ErrRefused{Status: 503}
 			}
@@ -87,8 +93,19 @@
 // runLeader runs an instance without others until it has renewed its lead once. The call that it returns ends it.
 func runLeader(t *testing.T, r *record) (c *coord.Coord, stop func()) {
 	t.Helper()
+	c, stop = start(netip.MustParseAddrPort("127.0.0.1:1"), r)
+	for begun := time.Now(); !r.appending(1); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("the lead is not renewed")
+		}
+	}
+	return c, stop
+}
+
+// start runs an instance. The call that it returns ends it.
+func start(self netip.AddrPort, r *record) (c *coord.Coord, stop func()) {
 	c = coord.New(coord.Config{
-		Self: netip.MustParseAddrPort("127.0.0.1:1"), Seeds: func() []netip.AddrPort { return nil }, Now: time.Now, Log: r.log(),
+		Self: self, Seeds: func() []netip.AddrPort { return nil }, Now: time.Now, Log: r.log(),
 		Same:    func(keyed.Topic, []byte, []byte) bool { return false },
 		Report:  func(time.Time, *sitepb.PushReply) {},
 		Strikes: func(time.Time) []*sitepb.Strike { return nil },
@@ -100,11 +117,6 @@
 		defer close(done)
 		c.Run(ctx)
 	}()
-	for start := time.Now(); !r.appending(1); time.Sleep(5 * time.Millisecond) {
-		if time.Since(start) > 20*time.Second {
-			t.Fatal("the lead is not renewed")
-		}
-	}
 	return c, func() {
 		end()
 		<-done
@@ -158,3 +170,38 @@
 	stop()
 	r.resigned(t)
 }
+
+// Guards against tables that are late because their leader has lost the store: a member saw the age of its lease as of the last
+// push, and waited for the next one before it looked.
+func TestLeaderWithoutStore(t *testing.T) {
+	const term = 5
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	for tenure.Rank(self.String(), term, tenure.Fitness{}) != 0 {
+		self = netip.AddrPortFrom(self.Addr(), self.Port()+1)
+	}
+	r := &record{takes: 100 * time.Millisecond}
+	c, stop := start(self, r)
+	defer stop()
+	lead, err := build.LeadEntry(tenure.Lead{Holder: "127.0.0.1:60000", Term: term, Nonce: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lead.Offset = 50
+	push := &sitepb.PushRequest{From: "127.0.0.1:60000", Term: term, UnconfirmedMs: 1300, Streams: []*sitepb.Stream{
+		spread.Encode(keyed.Place, keyed.Batch{Entries: []keyed.Entry{lead}, End: 51}, true),
+	}}
+	// The instance has started once it leads by itself.
+	for begun := time.Now(); !r.appending(1); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("the instance does not start")
+		}
+	}
+	c.Handlers().OnPush(push)
+	pushed := time.Now()
+	time.Sleep(800 * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.read.After(pushed) {
+		t.Error("a member of a leader whose lease was 1.3 s old 0.8 s ago has not read the store")
+	}
+}
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -201,7 +201,9 @@
 	if !c.member.started {
 		return
 	}
-	if silent < tenure.Silence && c.member.unconfirmed < strained || c.member.busy || c.pending || c.stopping.Load() {
+	// The age of the leader's lease goes on growing between its pushes.
+	unconfirmed := c.member.unconfirmed + silent
+	if silent < tenure.Silence && unconfirmed < strained || c.member.busy || c.pending || c.stopping.Load() {
 		return
 	}
 	if len(c.build.Moving) > 0 && silent >= tenure.Silence {
@@ -213,7 +215,7 @@
 	turn := strained + time.Duration(rank)*successorStep
 	// Keys of a server that is lost with the leader wait for the claim.
 	due := now.Sub(c.member.asked) >= askEvery || c.tenure.Claimable(now, rank) && !c.tenure.Claimable(c.member.asked, rank)
-	if !due || silent < tenure.Silence && c.member.unconfirmed < turn {
+	if !due || silent < tenure.Silence && unconfirmed < turn {
 		return
 	}
 	c.member.asked, c.member.busy = now, true
