Judge journals of running processes up to the beginning of the reading

Ruled out: a stale holder (its grants would have lapsed 2.2 s after the fence) and lost exposure of unanswered grants (read again path by path). Change: events that ended after the beginning of the reading are left out. What preceded an event up to then was written before it.

--- a/internal/stand/judge/judge.go
+++ b/internal/stand/judge/judge.go
@@ -43,15 +43,22 @@
 	incarnation uint64
 }
 
-// Load reads journals of servers and callers.
-func Load(paths ...string) (*Record, error) {
+// Load reads journals of servers and callers up to the time given, which must not be later than the beginning of the call.
+// Journals of processes that run are read one after the other: without that bound a key that moves meanwhile appears at its
+// new owner, read last, beside a grant of the earlier one that has been replaced since. Whatever preceded an event up to
+// that time was written before it, and is read.
+func Load(until int64, paths ...string) (*Record, error) {
 	var all []trace.Event
 	for _, path := range paths {
 		events, err := trace.Read(path)
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, events...)
+		for _, ev := range events {
+			if max(ev.From, ev.End) <= until {
+				all = append(all, ev)
+			}
+		}
 	}
 	return New(all), nil
 }
--- a/internal/stand/judge/judge_test.go
+++ b/internal/stand/judge/judge_test.go
@@ -1,6 +1,7 @@
 package judge_test
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,12 +32,17 @@
 `
 
 func load(t *testing.T, lines string) *judge.Record {
+	t.Helper()
+	return loadUntil(t, math.MaxInt64, lines)
+}
+
+func loadUntil(t *testing.T, until int64, lines string) *judge.Record {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "j.jsonl")
 	if err := os.WriteFile(path, []byte(strings.TrimLeft(lines, "\n")), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r, err := judge.Load(path)
+	r, err := judge.Load(until, path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,3 +95,20 @@
 		}
 	}
 }
+
+// Guards against an overlap that is reported because the journal of the earlier owner was read before it had its last grant,
+// and that of the next owner after that.
+func TestReadWhileRunning(t *testing.T) {
+	const lines = `
+{"event":"start","server":"s1","incarnation":1,"checks":true,"from":1}
+{"event":"grant","server":"s1","incarnation":1,"from":10,"until":100,"slots":[{"pool":"p","first":0,"last":9,"token":5}]}
+{"event":"start","server":"s2","incarnation":3,"checks":true,"from":1}
+{"event":"grant","server":"s2","incarnation":3,"from":50,"until":150,"slots":[{"pool":"p","first":3,"last":3,"token":6}]}
+`
+	if v := loadUntil(t, 49, lines).All(); len(v) > 0 {
+		t.Errorf("read from 49 on: %v", v)
+	}
+	if v := loadUntil(t, 50, lines).All(); len(v) != 1 || v[0].Rule != "overlap" {
+		t.Errorf("read from 50 on: %v", v)
+	}
+}
--- a/internal/stand/system/report.go
+++ b/internal/stand/system/report.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/stand/judge"
+	"github.com/bramleycove/bramleycove/internal/stand/trace"
 )
 
 // report fails the test if a process reported a data race, and shows all logs if the test failed.
@@ -56,12 +57,12 @@
 // Record reads the journals written so far.
 func (r *System) Record() *judge.Record {
 	r.tb.Helper()
-	// Calls come first: an execution is journalled before its answer, so each answer read finds its execution.
+	until := trace.Now()
 	paths := []string{r.callLog}
 	for _, s := range r.Plan.Servers {
 		paths = append(paths, r.journal(s.Name))
 	}
-	rec, err := judge.Load(paths...)
+	rec, err := judge.Load(until, paths...)
 	r.check(err)
 	return rec
 }
