Push to all instances when one leads again

Cause: the pusher kept what an earlier lead of this instance had heard of the others. Its first round forgot them all as silent for over 8 s, so that the new leader pushed to nobody. Change: a new lead begins with the members it knows of, as first heard now. Result: TestLeadAgain fails without it (0 pushes in 5 s).

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/coord"
@@ -90,6 +94,47 @@
 	return r.busy && len(r.entries) >= n
 }
 
+// members counts the pushes that instances of a deployment get. It returns their addresses.
+func members(t *testing.T, n int, count *atomic.Int64) (addrs []string) {
+	t.Helper()
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := &spread.Handlers{OnPush: func(r *sitepb.PushRequest) *sitepb.PushReply {
+			count.Add(1)
+			return &sitepb.PushReply{Term: r.GetTerm()}
+		}}
+		srv := &fasthttp.Server{Handler: h.Handler()}
+		go func() { _ = srv.Serve(ln) }()
+		t.Cleanup(func() { _ = srv.Shutdown() })
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs
+}
+
+// Guards against an instance that leads again and pushes to nobody: it took the others for lost, since it had not heard from
+// them since it led last. They learned of it, and of new tables, only when each had read the store.
+func TestLeadAgain(t *testing.T) {
+	var pushes, skew atomic.Int64
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	r := &record{takes: 20 * time.Millisecond}
+	c, stop := startAt(self, r, func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+	defer stop()
+	peers := append(members(t, 2, &pushes), self.String())
+	for lead := range 2 {
+		c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:60000", Term: uint64(100 * (lead + 1)), Peers: peers})
+		pushes.Store(0)
+		skew.Add(int64(20 * time.Second))
+		for begun := time.Now(); pushes.Load() < 4; time.Sleep(5 * time.Millisecond) {
+			if time.Since(begun) > 5*time.Second {
+				t.Fatalf("%d pushes in the first seconds of lead %d", pushes.Load(), lead+1)
+			}
+		}
+	}
+}
+
 // runLeader runs an instance without others until it has renewed its lead once. The call that it returns ends it.
 func runLeader(t *testing.T, r *record) (c *coord.Coord, stop func()) {
 	t.Helper()
@@ -104,8 +149,13 @@
 
 // start runs an instance. The call that it returns ends it.
 func start(self netip.AddrPort, r *record) (c *coord.Coord, stop func()) {
+	return startAt(self, r, time.Now)
+}
+
+// startAt runs an instance that takes the time from now.
+func startAt(self netip.AddrPort, r *record, now func() time.Time) (c *coord.Coord, stop func()) {
 	c = coord.New(coord.Config{
-		Self: self, Seeds: func() []netip.AddrPort { return nil }, Now: time.Now, Log: r.log(),
+		Self: self, Seeds: func() []netip.AddrPort { return nil }, Now: now, Log: r.log(),
 		Same:    func(keyed.Topic, []byte, []byte) bool { return false },
 		Report:  func(time.Time, *sitepb.PushReply) {},
 		Strikes: func(time.Time) []*sitepb.Strike { return nil },
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -96,6 +96,8 @@
 		c.lead.keepers[pool] = keep.New(m, &c.lead.fence, now, inherited)
 	}
 	c.relay.Only(now, nil)
+	// What an earlier lead of this instance knew of the others is too old: it would count as silence.
+	c.pusher.Only(now, nil)
 	c.pusher.Keep(now, c.member.peers)
 	for _, a := range c.cfg.Seeds() {
 		c.pusher.Keep(now, []string{a.String()})
