Tell neighbouring runs of moving keys as one

Cause: on 300 instances and 1,460 servers every push to every instance named 1,460 runs when keys were first dealt, 32 KB each. Relays did not reach their members in time, the leader pushed to 150 instances of the other region itself, and the link between regions (30 Mbit/s) was full from two seconds before the traffic on: a trial that logs the size of each push shows 4.6 MB there in half a second. Change: neighbours whose waits differ by 50 ms at most are one run. Result: TestMovingJoined fails without it.

--- a/internal/place/keep/keep.go
+++ b/internal/place/keep/keep.go
@@ -184,10 +184,14 @@
 	Wait        time.Duration
 }
 
+// sameWait is how much the waits of neighbouring runs may differ for them to be told as one.
+const sameWait = 50 * time.Millisecond
+
 // usualMove is the time that a move takes if both servers answer.
 const usualMove = 150 * time.Millisecond
 
-// Moving returns the keys for which requests should not be sent for now.
+// Moving returns the keys for which requests should not be sent for now. Neighbours are joined: when keys are first dealt, all
+// ranges move, and each push to each instance names them.
 func (k *Keeper) Moving(now time.Time) (out []Run) {
 	for _, p := range k.pieces {
 		if p.state == held && (!p.renewed.IsZero() || p.taken) {
@@ -200,6 +204,10 @@
 		case p.state == releasing && p.failed:
 			wait += max(0, p.bound.Sub(now))
 		}
+		if n := len(out) - 1; n >= 0 && int(out[n].Last)+1 == int(p.First) && (out[n].Wait-wait).Abs() <= sameWait {
+			out[n].Last, out[n].Wait = p.Last, max(out[n].Wait, wait)
+			continue
+		}
 		out = append(out, Run{p.First, p.Last, wait})
 	}
 	return out
--- a/internal/place/keep/keep_test.go
+++ b/internal/place/keep/keep_test.go
@@ -623,3 +623,25 @@
 		}
 	}
 }
+
+// Guards against pushes that name each range by itself when all keys are dealt: 1,460 ranges are 32 KB for each of 300
+// instances, more than the link between regions carries in the time of a push.
+func TestMovingJoined(t *testing.T) {
+	fence := uint64(0)
+	var m spans.Map
+	for i := range 8 {
+		m = append(m, spans.Span{First: uint16(i * 100), Last: uint16(i*100 + 99), Owner: spans.Owner{Server: fmt.Sprint("s", i)}})
+	}
+	k := keep.New(m, &fence, epoch, epoch)
+	if moving := k.Moving(epoch); len(moving) != 0 {
+		t.Errorf("%v move under a leader that takes over", moving)
+	}
+	k.Observe(epoch, func(o spans.Owner) (usable, gone bool) { return true, o.Server == "s5" })
+	if moving := k.Moving(epoch); len(moving) != 1 || moving[0].First != 500 || moving[0].Last != 599 {
+		t.Errorf("%v move after one server was lost", moving)
+	}
+	k.Observe(epoch, func(spans.Owner) (usable, gone bool) { return true, true })
+	if moving := k.Moving(epoch); len(moving) != 1 || moving[0].First != 0 || moving[0].Last != 799 {
+		t.Errorf("%v move after all servers were lost", moving)
+	}
+}
