Know the other instances by the record of the earlier lead

Cause: an instance that was restarted and claimed the lead knew only the seeds. Change: a new leader pushes to the members recorded with the lead before its own. Result: TestLeadAfterRestart fails without it.

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -53,7 +53,14 @@
 
 func (r *record) log() keyed.Log {
 	return keyed.Log{
-		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) { return keyed.Batch{}, nil },
+		Newest: func(_ context.Context, topic keyed.Topic) (keyed.Batch, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if topic == keyed.Place {
+				return r.foreign, nil
+			}
+			return keyed.Batch{}, nil
+		},
 		Read: func(ctx context.Context, topic keyed.Topic, from uint64, wait time.Duration) (keyed.Batch, error) {
 			select {
 			case <-ctx.Done():
@@ -140,6 +147,27 @@
 	}
 }
 
+// Guards against a leader that was restarted, claims the lead again, and knows of no other instance: all of them waited until
+// they had read the store and introduced themselves.
+func TestLeadAfterRestart(t *testing.T) {
+	var pushes atomic.Int64
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	lead, err := build.LeadEntry(tenure.Lead{
+		Holder: self.String(), Term: 5, Nonce: 1, Members: append(members(t, 2, &pushes), self.String()),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &record{takes: 20 * time.Millisecond, entries: []keyed.Entry{lead}, foreign: keyed.Batch{Entries: []keyed.Entry{lead}, End: 1}}
+	_, stop := start(self, r)
+	defer stop()
+	for begun := time.Now(); pushes.Load() < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatalf("%d pushes in the first seconds", pushes.Load())
+		}
+	}
+}
+
 // Guards against members of a large deployment that all introduce themselves to a new leader at once, which then spends its
 // first second on answering them; and against one that never does so, though the new leader can't reach it.
 func TestIntroduction(t *testing.T) {
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -100,6 +100,8 @@
 	// What an earlier lead of this instance knew of the others is too old: it would count as silence.
 	c.pusher.Only(now, nil)
 	c.pusher.Keep(now, c.member.peers)
+	// One that has just started knows the others by the record of the earlier lead alone.
+	c.pusher.Keep(now, earlier.Members)
 	for _, a := range c.cfg.Seeds() {
 		c.pusher.Keep(now, []string{a.String()})
 	}
