Let members of large deployments read the store in their turn

Cause: all members read the place and configuration streams 1.2 s after a leader was lost and each 0.7 s from then on: on 300 instances some 600 priced calls before the successor's claim, which two candidates decide. Change: until 2.2 s of silence a member reads only when its turn to claim has come. Result: TestReadInTurn fails without it (1.2 s).

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -168,6 +168,46 @@
 	}
 }
 
+// Guards against 300 instances that read the store twice a second each when their leader is lost, while two of them would do;
+// and against one that never looks for itself.
+func TestReadInTurn(t *testing.T) {
+	const leader = "127.0.0.1:60000"
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	lead, err := build.LeadEntry(tenure.Lead{Holder: leader, Term: 5, Nonce: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &record{entries: []keyed.Entry{lead}, foreign: keyed.Batch{Entries: []keyed.Entry{lead}, End: 1}}
+	c, stop := start(self, r)
+	defer stop()
+	peers := []string{leader}
+	for i := range spread.RelayFrom {
+		peers = append(peers, fmt.Sprint("127.0.0.1:", 60001+i))
+	}
+	push := func() time.Time {
+		c.Handlers().OnPush(&sitepb.PushRequest{From: leader, Term: 5, Peers: append(peers, self.String())})
+		return time.Now()
+	}
+	for range 10 { // until the instance has started
+		push()
+		time.Sleep(50 * time.Millisecond)
+	}
+	pushed := push()
+	for time.Since(pushed) < 4*time.Second {
+		time.Sleep(5 * time.Millisecond)
+		r.mu.Lock()
+		read := r.read
+		r.mu.Unlock()
+		if read.After(pushed) {
+			if waited := read.Sub(pushed); waited < 2*time.Second {
+				t.Errorf("the last of %d instances read the store %v after the last push", len(peers), waited)
+			}
+			return
+		}
+	}
+	t.Error("the store is not read")
+}
+
 // Guards against members of a large deployment that all introduce themselves to a new leader at once, which then spends its
 // first second on answering them; and against one that never does so, though the new leader can't reach it.
 func TestIntroduction(t *testing.T) {
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -15,9 +15,9 @@
 	// askEvery is the interval at which a member without a leader reads the store. The bounds on configuration and on
 	// leaving servers, 2.5 s and more, hold with a reading every second.
 	askEvery = 700 * time.Millisecond
-	// serversPatience is how long the members of a large deployment hear nothing before they read the servers themselves. The
-	// heartbeats since the last push are megabytes for each of them, and a successor reads them for all by then.
-	serversPatience = 2200 * time.Millisecond
+	// patience is how long the members of a large deployment hear nothing before they read the store whether or not it is their
+	// turn to succeed the leader. A successor reads it for all by then; the heartbeats alone are megabytes for each of them.
+	patience = 2200 * time.Millisecond
 	// strained is the age of the leader's lease from which on members try to take over: one renewal was missed.
 	strained = 1700 * time.Millisecond
 	// newerPatience is how long the members of a large deployment wait for the pushes of a new leader that they read of in the
@@ -217,7 +217,10 @@
 	rank := c.rank(lead.Term)
 	turn := strained + time.Duration(rank)*successorStep
 	// Keys of a server that is lost with the leader wait for the claim.
-	due := now.Sub(c.member.asked) >= askEvery || c.tenure.Claimable(now, rank) && !c.tenure.Claimable(c.member.asked, rank)
+	due := c.tenure.Claimable(now, rank) && !c.tenure.Claimable(c.member.asked, rank)
+	if waits := c.large() && silent >= tenure.Silence && silent < patience; !waits {
+		due = due || now.Sub(c.member.asked) >= askEvery
+	}
 	if !due || silent < tenure.Silence && unconfirmed < turn {
 		return
 	}
@@ -225,6 +228,10 @@
 	c.background(c.ask)
 }
 
+// large reports whether there are so many instances that they must not all turn to the store or the leader at once. c.mu is
+// held.
+func (c *Coord) large() bool { return len(c.member.peers) >= spread.RelayFrom }
+
 // rank returns the place of this instance among the candidates for the lead after a term. c.mu is held.
 func (c *Coord) rank(term uint64) int {
 	if n, ok := tenure.Turn(c.tenure.Self, c.member.leader, c.member.peers); ok {
@@ -248,7 +255,7 @@
 	now := c.cfg.Now()
 	lead, known := c.tenure.Lead()
 	claim := c.tenure.Claimable(now, c.rank(lead.Term))
-	silent, large := now.Sub(c.member.heard), len(c.member.peers) >= spread.RelayFrom
+	silent, large := now.Sub(c.member.heard), c.large()
 	newer := lead.Term > c.member.term
 	if newer && lead.Term != c.member.readTerm {
 		c.member.readTerm, c.member.readSince = lead.Term, now
@@ -264,7 +271,7 @@
 		return
 	}
 	c.reader.Read(ctx, keyed.Config, 0)
-	if !large || silent >= serversPatience {
+	if !large || silent >= patience {
 		c.reader.Servers(ctx)
 	}
 	if known && !lead.Resigned && lead.Holder != c.tenure.Self {
