Wait for what an earlier leader sends to the next life of a server; bound first grants

A new leader had a grant accepted and forgot the bound on grants of earlier leaders, since the server refuses these. The server then crashed, its keys went to another one at once, and its next life under the same id, which knows no fence, accepted a first grant that the earlier leader still sent. Change: the bound is kept, and counts again when the server has ended. Cause (burst): a new leader sent the first grants of 1,460 ranges at once. The link between regions and its processor were taken for half a second, and its pushes to the relays timed out.

--- a/internal/place/keep/keep.go
+++ b/internal/place/keep/keep.go
@@ -26,6 +26,9 @@
 	// ordersEach bounds the orders to one server that are under way. The client has as many connections to each, and an order
 	// beyond them fails.
 	ordersEach = 4
+	// burst bounds the first grants and releases that fall due at once. A leader that sent 1,460 of them in one go filled the
+	// link between regions for half a second, and its pushes to the relays failed.
+	burst = 150
 	// notice is how long before a release the instances are told that keys move, so that their requests wait instead of
 	// being refused by the old owner. It covers the way between regions and a tick of the leader.
 	notice = 130 * time.Millisecond
@@ -94,12 +97,21 @@
 	bound   time.Time   // the owner holds the keys at most until then
 	open    time.Time   // a grant of this leader without answer may take effect until then
 	legacy  time.Time   // a grant of an earlier leader may take effect until then
+	shut    bool        // the owner has a fence of this leader, so that it refuses grants of earlier ones
 	taken   bool        // from an earlier leader: the owner held the keys when this one began
 	failed  bool        // the last order failed
 	down    bool        // nobody listened at the server's address when the last order to it was sent
 	unused  bool        // no grant with this fence may have reached a server
 }
 
+// free returns when no grant for a parted piece may take effect any more.
+func (p *piece) free() time.Time {
+	if p.shut {
+		return p.open
+	}
+	return later(p.open, p.legacy)
+}
+
 // Keeper holds the pieces of one pool. It is not safe for concurrent use.
 type Keeper struct {
 	// Transit is how long an order may still be on its way when its caller has given it up.
@@ -200,7 +212,7 @@
 		wait := usualMove
 		switch {
 		case p.state == parted:
-			wait += max(0, later(p.open, p.legacy).Sub(now))
+			wait += max(0, p.free().Sub(now))
 		case p.state == releasing && p.failed:
 			wait += max(0, p.bound.Sub(now))
 		}
@@ -233,6 +245,8 @@
 		case p.state == parted:
 		case gone && !p.busy:
 			k.part(now, p, "")
+			// Its next life knows no fence, and may accept what an earlier leader goes on sending.
+			p.shut = false
 			if p.unused && p.down {
 				// No grant was accepted since nobody listened there, so that the grants of before ended with their process.
 				p.open = now
@@ -358,7 +372,7 @@
 // Due returns the orders to send now, with grants for hold.
 func (k *Keeper) Due(now time.Time, hold time.Duration) (out []Order) {
 	k.assign(now)
-	granting, busy := make(map[spans.Owner]bool), make(map[spans.Owner]int)
+	granting, busy, first := make(map[spans.Owner]bool), make(map[spans.Owner]int), 0
 	for _, p := range k.pieces {
 		if !p.busy {
 			continue
@@ -377,18 +391,20 @@
 			continue
 		}
 		renewal := p.state != releasing && !p.unused
-		if !renewal && busy[p.Owner] >= ordersEach {
+		if !renewal && (busy[p.Owner] >= ordersEach || first >= burst) {
 			continue
 		}
 		switch {
 		case p.state == releasing:
 			p.busy = true
 			busy[p.Owner]++
+			first++
 			out = append(out, Order{Kind: Release, Span: p.Span})
 		case (p.state == held || p.state == noticed) && !p.pending && now.Sub(p.renewed) >= renew && (p.unused || !granting[p.Owner]):
 			p.busy = true
 			if !renewal {
 				busy[p.Owner]++
+				first++
 			}
 			out = append(out, Order{Kind: Grant, Span: p.Span, Hold: hold, Renewal: renewal})
 		}
@@ -399,7 +415,7 @@
 // assign gives keys that nobody holds to their next owner.
 func (k *Keeper) assign(now time.Time) {
 	for _, p := range k.pieces {
-		if p.state != parted || p.to.Server == "" || now.Before(p.open) || now.Before(p.legacy) {
+		if p.state != parted || p.to.Server == "" || now.Before(p.free()) {
 			continue
 		}
 		*k.fence++
@@ -456,7 +472,7 @@
 		p.bound = later(p.bound, lapse)
 		p.renewed, p.failed, p.unused = start, false, false
 		// The fence is above those of all grants without answer and of earlier leaders, so that these are refused now.
-		p.open, p.legacy = time.Time{}, time.Time{}
+		p.open, p.shut = time.Time{}, true
 		return
 	}
 	p.retry, p.failed = now.Add(retryAfter), true
--- a/internal/place/keep/keep_test.go
+++ b/internal/place/keep/keep_test.go
@@ -147,10 +147,12 @@
 	// A server that is down when an order is sent does not get it: connection attempts are given up sooner than it starts.
 	down := w.find(o.Owner).dead
 	if born, ok := w.links[l]; ok && born != w.find(o.Owner).Born {
-		// The client notices that its connection has broken and does not send over another one.
+		// The client notices that its connection has broken, and sends no renewal over another one.
 		delete(w.links, l)
-		finish(start, keep.Unsent, "")
-		return
+		if o.Renewal {
+			finish(start, keep.Unsent, "")
+			return
+		}
 	}
 	w.at(way, func() {
 		s := w.find(o.Owner)
@@ -645,3 +647,67 @@
 		t.Errorf("%v move after all servers were lost", moving)
 	}
 }
+
+// Guards against two owners after a change of leader: the server of a range crashed once it had a grant of the new leader, its
+// keys were given to another server at once, and its next life accepted what the earlier leader was still sending (draw seed
+// 0x38 of TestSoleOwner).
+func TestCrashAfterTakeover(t *testing.T) {
+	fence := uint64(0)
+	legacy := epoch.Add(5 * time.Second)
+	k := keep.New(spans.Map{{First: 0, Last: 65535, Owner: owner("a")}}, &fence, epoch, legacy)
+	k.Recorded(fence)
+	o := k.Due(epoch, keep.Hold)[0]
+	k.Finish(epoch, epoch, o, keep.Done, "")
+	servers := []shift.Server{{Owner: owner("b"), Capacity: 10, Stays: true}}
+	refused := 0
+	for now := epoch.Add(time.Second); now.Before(legacy.Add(3 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		k.Observe(now, func(o spans.Owner) (usable, gone bool) { return o.Server == "b", o.Server == "a" && refused > 1 })
+		k.Plan(now, servers, new(shift.Loads), false)
+		if _, changed := k.Map(); changed {
+			k.Recording()
+			k.Recorded(fence)
+		}
+		for _, o := range k.Due(now, keep.Hold) {
+			if o.Server == "b" {
+				if now.Before(legacy) {
+					t.Errorf("given to another server %v before the earlier leader's grants end", legacy.Sub(now))
+				}
+				return
+			}
+			refused++
+			k.Finish(now, now, o, keep.Down, "")
+		}
+	}
+	t.Error("not given to another server")
+}
+
+// Guards against a new leader that sends its first grants of all ranges at once, 1,460 on a large deployment, beside which its
+// pushes to the other instances come too late.
+func TestBurst(t *testing.T) {
+	const ranges = 400
+	fence := uint64(0)
+	var m spans.Map
+	for i := range ranges {
+		m = append(m, spans.Span{First: uint16(i), Last: uint16(i), Owner: spans.Owner{Server: fmt.Sprint("s", i)}})
+	}
+	k := keep.New(m, &fence, epoch, epoch)
+	k.Recorded(fence)
+	sent := 0
+	for round := range 4 {
+		now := epoch.Add(time.Duration(round) * 50 * time.Millisecond)
+		orders := k.Due(now, keep.Hold)
+		if len(orders) > 150 {
+			t.Errorf("%d first grants at once", len(orders))
+		}
+		sent += len(orders)
+		for _, o := range orders {
+			k.Finish(now, now, o, keep.Done, "")
+		}
+	}
+	if sent != ranges {
+		t.Errorf("%d of %d grants sent after 0.15 s", sent, ranges)
+	}
+	if n := len(k.Due(epoch.Add(time.Second), keep.Hold)); n != ranges {
+		t.Errorf("%d of %d renewals when they are due", n, ranges)
+	}
+}
