Start from the lead's record alone, and replace relays without a gap

Cause: of 300 instances 180 are killed at once, the leader among them. Each that started again read 0.9 MB of servers, since nobody led: 80 MB over the link between regions. Then one failed push to a relay made the leader send 25 KB to each of its 74 members, which filled the link again; and no relay was chosen in a data centre in which all instances had just started. Change: an instance of a large deployment that finds no leader starts with the record of the lead and waits for the pushes of the next one, until its turn to claim or 2.2 s of silence; the record names the members in the order of succession. A new relay has 0.7 s to reach members, of which four a round are sent news directly; one that knows nothing yet may be the relay.

--- a/internal/peer/join/join.go
+++ b/internal/peer/join/join.go
@@ -15,6 +15,7 @@
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
 	"github.com/bramleycove/bramleycove/internal/place/build"
+	"github.com/bramleycove/bramleycove/internal/place/tenure"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 )
 
@@ -48,7 +49,9 @@
 	defer j.calls.Wait()
 	leader, peers := j.findLeader(ctx)
 	if leader == "" {
-		leader, peers = j.readLeader(ctx)
+		if l, ok := j.Lead(ctx); ok && !l.Resigned {
+			leader, peers = l.Holder, l.Members
+		}
 	}
 	if leader == "" || leader == j.Self || len(peers) < spread.RelayFrom {
 		return "", false
@@ -76,8 +79,8 @@
 	return true
 }
 
-// readLeader returns the leader and the instances by the last record of the place stream, which always renews the lead.
-func (j *Joiner) readLeader(ctx context.Context) (leader string, peers []string) {
+// Lead returns the last record of the place stream, which always renews the lead. ok is false if it could not be read.
+func (j *Joiner) Lead(ctx context.Context) (lead tenure.Lead, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, reads.Timeout)
 	defer cancel()
 	var batch keyed.Batch
@@ -88,18 +91,18 @@
 	}
 	if err != nil {
 		j.Events.Info("lead-unread", "error", err)
-		return "", nil
+		return lead, false
 	}
 	for _, e := range batch.Entries {
-		l, ok, err := build.LeadOf(e)
+		l, isLead, err := build.LeadOf(e)
 		switch {
 		case err != nil:
 			j.Events.Info("lead-unread", "error", err)
-		case ok && !l.Resigned:
-			leader, peers = l.Holder, l.Members
+		case isLead:
+			lead, ok = l, true
 		}
 	}
-	return leader, peers
+	return lead, ok
 }
 
 // findLeader asks all seeds for the leader and the instances and returns the first answer.
--- a/internal/peer/spread/relay_test.go
+++ b/internal/peer/spread/relay_test.go
@@ -217,3 +217,59 @@
 		t.Errorf("%d pushes", pushes.Load())
 	}
 }
+
+// Guards against a leader that sends its news to all members of a data centre itself because their relay failed once: 74
+// instances of another region filled the link, on which the next pushes to relays failed.
+func TestRelayReplaced(t *testing.T) {
+	var members []*relayed
+	for range 26 {
+		members = append(members, listenRelayed(t, "a", false))
+	}
+	l := newLead(t, members)
+	if !l.run(5*time.Second, members, func() bool { return serving(members, 20) != nil }) {
+		t.Fatal("no relay")
+	}
+	l.run(time.Second, members, nil)
+	lost := serving(members, 20)
+	lost.stopped.Store(true)
+	defer lost.stopped.Store(false)
+	before := l.pushes.Load()
+	l.Book.Apply(keyed.Servers, entry("a", 6, []byte("y")), false)
+	if !l.run(3*time.Second, members, func() bool {
+		for _, m := range members {
+			if m != lost && m.book.Get(keyed.Servers, "a").Offset != 6 {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Error("news not within 3s")
+	}
+	// Those to the new relay, eight a second, and repeated ones to the lost one.
+	if n := l.pushes.Load() - before; n > 20 {
+		t.Errorf("%d pushes by the leader itself", n)
+	}
+}
+
+// Guards against the whole state being sent to each instance of a data centre by the leader when all of them have just
+// started, after most of a deployment was killed at once.
+func TestAllStartAnew(t *testing.T) {
+	var members []*relayed
+	for range 26 {
+		members = append(members, listenRelayed(t, "a", false))
+	}
+	l := newLead(t, members)
+	if !l.run(5*time.Second, members, func() bool {
+		for _, m := range members {
+			if m.book.Get(keyed.Servers, "a").Offset == 0 {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Error("state not within 5s")
+	}
+	if n := l.pushes.Load(); n > 26+12 {
+		t.Errorf("%d pushes by the leader itself", n)
+	}
+}
--- a/internal/peer/spread/route.go
+++ b/internal/peer/spread/route.go
@@ -17,6 +17,9 @@
 	// relayPatience is how long after its last exchange with a relay a member is left to it: two intervals. It hears from
 	// the leader itself before it gives that up as silent.
 	relayPatience = 2 * Interval
+	// directs is how many members that their relay does not reach get news of the leader itself in a round. A relay that
+	// failed once left 74 of them, 25 KB each, to a link that was the cause.
+	directs = 4
 	// relayTrial is how long a relay has to reach half of its members.
 	relayTrial = 2 * time.Second
 	// relayPause is how long one that does not is not chosen again.
@@ -86,16 +89,24 @@
 }
 
 // choose returns the relay for a data centre: a large instance that answers, the first by address, so that a new leader
-// chooses the same one. addrs are in order.
+// chooses the same one. addrs are in order. One that has just started and knows nothing yet is chosen if all have: it gets
+// the state once, instead of all of them over the link between regions.
 func (p *Pusher) choose(now time.Time, addrs []string) (assignment, bool) {
-	best := ""
+	best, least := "", 0
 	for _, a := range addrs {
 		x := p.peers[a]
-		if x.state == unknown || x.state == empty || x.failures > 0 || now.Before(x.unfit) {
+		if x.state == unknown || x.failures > 0 || now.Before(x.unfit) {
 			continue
 		}
-		if best == "" || p.peers[best].small && !x.small {
-			best = a
+		against := 0
+		if x.small {
+			against++
+		}
+		if x.state == empty {
+			against += 2
+		}
+		if best == "" || against < least {
+			best, least = a, against
 		}
 	}
 	return assignment{addr: best, since: now}, best != ""
@@ -109,13 +120,23 @@
 	if (reached.IsZero() || now.Sub(r.since) < relayTrial) && x.heard.After(reached) {
 		reached = x.heard
 	}
-	if !ok || r.addr == addr || now.Sub(reached) >= relayPatience {
+	if !ok || r.addr == addr {
+		return false
+	}
+	replaced := now.Sub(r.since) < relayPatience && now.Sub(x.heard) < 2*relayPatience
+	if now.Sub(reached) >= relayPatience && !replaced {
 		return false
 	}
 	via := p.peers[r.addr]
 	return via != nil && via.failures == 0
 }
 
+// viaRelay reports whether an instance is a member of a data centre with a relay, and its relay could bring what it lacks.
+func (p *Pusher) viaRelay(addr string, x *peer) bool {
+	r, ok := p.relays[x.dc]
+	return ok && r.addr != addr && x.state != unknown
+}
+
 // word is an answer that came over a relay.
 type word struct {
 	start time.Time
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -165,7 +165,7 @@
 			delete(p.peers, addr)
 		}
 	}
-	serves, encoded := p.assign(now), make(encodings)
+	serves, encoded, direct := p.assign(now), make(encodings), 0
 	var base *sitepb.PushRequest
 	for addr, x := range p.peers {
 		if x.busy || now.Before(x.retry) || now.Sub(x.sent) < p.pace(len(serves[addr])) || p.covered(now, addr, x) {
@@ -174,6 +174,11 @@
 		if now.Sub(x.sent) < Interval && x.fresh == news && !p.behind(x) {
 			continue
 		}
+		if p.viaRelay(addr, x) {
+			if direct++; direct > directs {
+				continue
+			}
+		}
 		x.busy, x.sent, x.fresh = true, now, news
 		if base == nil {
 			base = p.Base(now)
--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -41,6 +42,7 @@
 	busy    bool
 	away    bool
 	read    time.Time   // last read of the owners
+	servers int         // readings of all servers
 	foreign keyed.Batch // what a read of the owners shows, written by others
 	entries []keyed.Entry
 }
@@ -56,8 +58,11 @@
 		Newest: func(_ context.Context, topic keyed.Topic) (keyed.Batch, error) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			if topic == keyed.Place {
+			switch topic {
+			case keyed.Place:
 				return r.foreign, nil
+			case keyed.Servers:
+				r.servers++
 			}
 			return keyed.Batch{}, nil
 		},
@@ -74,6 +79,9 @@
 			if r.away {
 				return keyed.Batch{}, &keyed.ErrRefused{Status: 503}
 			}
+			if from == math.MaxInt64 {
+				return keyed.Batch{End: uint64(len(r.entries))}, nil
+			}
 			if topic == keyed.Place && r.foreign.End > from {
 				return r.foreign, nil
 			}
@@ -208,6 +216,34 @@
 	t.Error("the store is not read")
 }
 
+// Guards against 180 instances that were killed with their leader and read all servers when they start, which fills the link to
+// the store; and against one that never reads them though no leader comes.
+func TestStartWithoutLeader(t *testing.T) {
+	members := []string{"127.0.0.1:1"}
+	for i := range spread.RelayFrom {
+		members = append(members, fmt.Sprint("127.0.0.1:", 60000+i))
+	}
+	lead, err := build.LeadEntry(tenure.Lead{Holder: members[1], Term: 5, Nonce: 1, Members: members})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &record{entries: []keyed.Entry{lead}, foreign: keyed.Batch{Entries: []keyed.Entry{lead}, End: 1}}
+	begun := time.Now()
+	_, stop := start(netip.MustParseAddrPort(members[0]), r)
+	defer stop()
+	read := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.servers > 0
+	}
+	for !read() && time.Since(begun) < 10*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if waited := time.Since(begun); waited < 1500*time.Millisecond || waited > 6*time.Second {
+		t.Errorf("all servers read %v after the start", waited)
+	}
+}
+
 // Guards against members of a large deployment that all introduce themselves to a new leader at once, which then spends its
 // first second on answering them; and against one that never does so, though the new leader can't reach it.
 func TestIntroduction(t *testing.T) {
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -30,7 +30,7 @@
 
 // start learns all streams. Until that succeeds the instance knows nothing and is not ready.
 func (c *Coord) start(ctx context.Context) {
-	done := c.startFromLeader(ctx)
+	done := c.startFromLeader(ctx) || c.startFromLead(ctx)
 	for !done && ctx.Err() == nil {
 		if done = c.reader.All(ctx) || c.pullAny(ctx); !done {
 			reads.Sleep(ctx, askEvery/2)
@@ -56,6 +56,34 @@
 	return lead.Holder == leader && !lead.Resigned
 }
 
+// startFromLead begins with nothing but the record of the lead, and waits for the pushes of its holder or a successor. An
+// instance of a large deployment starts so when no leader answers: most of them may have been killed together, and their
+// reading all servers would fill the link to the store. The former holder itself reads all, and leads again.
+func (c *Coord) startFromLead(ctx context.Context) bool {
+	l, ok := c.joiner.Lead(ctx)
+	if !ok || l.Holder == c.tenure.Self || len(l.Members) < spread.RelayFrom {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Now()
+	c.tenure.Observe(now, l)
+	if len(c.member.peers) == 0 {
+		c.member.peers = l.Members
+	}
+	// Until then it does not read everything by itself.
+	c.member.heard = later(c.member.heard, now)
+	c.log.Info("started-from-lead", "holder", l.Holder, "term", l.Term, "members", len(l.Members))
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // pullAny asks the seeds and the known instances for their state until one answers with tables.
 func (c *Coord) pullAny(ctx context.Context) bool {
 	c.mu.Lock()
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -199,7 +199,7 @@
 			k.Recording()
 		}
 	}
-	next := c.tenure.Next(rand.Uint64(), c.pusher.Peers(), c.renewTerm(now))
+	next := c.tenure.Next(rand.Uint64(), c.lead.peers, c.renewTerm(now))
 	end, _ := c.book.End(keyed.Place)
 	l := c.lead
 	c.background(func() { c.write(l, end, next, msg, fence) })
@@ -262,7 +262,7 @@
 		return
 	}
 	c.pending = true
-	next := c.tenure.Next(rand.Uint64(), c.pusher.Peers(), false)
+	next := c.tenure.Next(rand.Uint64(), c.lead.peers, false)
 	next.Resigned = true
 	end, _ := c.book.End(keyed.Place)
 	c.mu.Unlock()
--- a/internal/place/tenure/tenure.go
+++ b/internal/place/tenure/tenure.go
@@ -33,7 +33,7 @@
 	Nonce    uint64
 	Resigned bool
 	Offset   uint64
-	Members  []string // all instances that the holder knows
+	Members  []string // all instances that the holder knows, in the order of succession
 }
 
 // Tenure is one instance's view of the lead. It is not safe for concurrent use.
