--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/peer/feed"
+	"github.com/bramleycove/bramleycove/internal/peer/stream"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
@@ -266,7 +267,7 @@
 	} else {
 		batch, last = p.Book.Since(l.topic, l.from)
 	}
-	s = Encode(l.topic, batch, l.state == empty)
+	s = stream.Encode(l.topic, batch, l.state == empty)
 	encoded[l] = encoding{s, last}
 	return s, last
 }
--- a/internal/peer/spread/stream.go
+++ b/internal/peer/stream/stream.go
@@ -1,4 +1,5 @@
-package spread
+// Package stream turns parts of the shared streams into messages between instances and back.
+package stream
 
 import (
 	"bytes"
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/peer/spread"
+	"github.com/bramleycove/bramleycove/internal/peer/stream"
 	"github.com/bramleycove/bramleycove/internal/place/tenure"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
@@ -119,7 +120,7 @@
 	now, told := c.cfg.Now(), c.member.told
 	c.member.told = now
 	c.mu.Unlock()
-	if err := spread.Apply(c.book, r.GetStreams()); err != nil {
+	if err := stream.Apply(c.book, r.GetStreams()); err != nil {
 		c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
 	}
 	if after, _ := c.book.End(keyed.Place); after != before {
@@ -165,7 +166,7 @@
 	c.apply(r)
 	c.cfg.Learn(time.Now(), r.GetStrikes())
 	reply := c.reply(stale)
-	reply.Have = spread.Have(c.book)
+	reply.Have = stream.Have(c.book)
 	if !stale {
 		c.relay.Pass(now, r, peers, reply)
 		c.cfg.Report(time.Now(), reply)
@@ -218,7 +219,7 @@
 	for t := range keyed.Count {
 		if _, known := c.book.End(t); known {
 			batch, _ := c.book.Since(t, 0)
-			out.Streams = append(out.Streams, spread.Encode(t, batch, true))
+			out.Streams = append(out.Streams, stream.Encode(t, batch, true))
 		}
 	}
 	return out
