--- a/internal/peer/spread/route.go
+++ b/internal/peer/spread/route.go
@@ -17,8 +17,8 @@
 	// relayPatience is how long after its last exchange with a relay a member is left to it: two intervals. It hears from
 	// the leader itself before it gives that up as silent.
 	relayPatience = 2 * Interval
-	// directs is how many members that their relay does not reach get news of the leader itself in a round. A relay that
-	// failed once left 74 of them, 25 KB each, to a link that was the cause.
+	// directs is how many members that their relay does not reach get news of the leader itself in a round. News of 25 KB to
+	// each of 74 members fill the link between regions, on which the push to their relay has just failed.
 	directs = 4
 	// relayTrial is how long a relay has to reach half of its members.
 	relayTrial = 2 * time.Second
@@ -123,6 +123,7 @@
 	if !ok || r.addr == addr {
 		return false
 	}
+	// A relay that has just been chosen has not reached anybody yet.
 	replaced := now.Sub(r.since) < relayPatience && now.Sub(x.heard) < 2*relayPatience
 	if now.Sub(reached) >= relayPatience && !replaced {
 		return false
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -24,9 +24,8 @@
 	Interval = 350 * time.Millisecond
 	// gap is the least time between two pushes to an instance. The changes of that time share one.
 	gap = 100 * time.Millisecond
-	// each is the time between two pushes with news that an instance has for each one that it pushes to: five times the
-	// processor time of a push at a third of a core. A relay of 75 members with news each 0.1 s had no time left for them,
-	// and the leader's own pushes to them filled the link between regions.
+	// each is the least time between two rounds of news for each instance that gets them: a push takes some 1 ms on a third of
+	// a core. A relay that sent news to 75 members each 0.1 s had no processor time left to reach all of them.
 	each = 5 * time.Millisecond
 	// callTimeout bounds a push: the way between regions and a slow instance.
 	callTimeout = 800 * time.Millisecond
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -22,7 +22,7 @@
 	// strained is the age of the leader's lease from which on members try to take over: one renewal was missed.
 	strained = 1700 * time.Millisecond
 	// newerPatience is how long the members of a large deployment wait for the pushes of a new leader that they read of in the
-	// store. Those come within 0.3 s; 81 members that introduced themselves first took more of its processor than they.
+	// store. These come within 0.3 s, unless the leader spends that time on answering 81 members that introduce themselves.
 	newerPatience = 600 * time.Millisecond
 	// successorStep keeps the members apart that try to replace a leader that lives but can't reach the store: each call
 	// is priced, and the store may be away for all.
@@ -72,7 +72,7 @@
 	if len(c.member.peers) == 0 {
 		c.member.peers = l.Members
 	}
-	// Until then it does not read everything by itself.
+	// This counts as a sign of the leader, so that reading everything is put off.
 	c.member.heard = later(c.member.heard, now)
 	c.log.Info("started-from-lead", "holder", l.Holder, "term", l.Term, "members", len(l.Members))
 	return true
