--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -289,7 +289,8 @@
 		}
 	}
 	read := time.Now()
-	for ; time.Since(read) < 10*time.Second && pulls.Load() == 0; time.Sleep(5 * time.Millisecond) {
+	for time.Since(read) < 10*time.Second && pulls.Load() == 0 {
+		time.Sleep(5 * time.Millisecond)
 	}
 	if waited := time.Since(read); pulls.Load() == 0 || waited < 300*time.Millisecond {
 		t.Errorf("%d introductions, %v after the new leader was read of", pulls.Load(), waited)
