Let the first candidates look at the store after 0.8 s of silence

Cause: a leader that renews its lead just before it is lost has told nobody of that. Change: candidates of the first rank read after two missed pushes. Result: TestGlance fails without it.

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -245,6 +245,44 @@
 	}
 }
 
+// Guards against a claim that comes up to a second late because the leader renewed its lead just before it was lost: the first
+// candidate saw the renewal only when its turn had come, and waited once more.
+func TestGlance(t *testing.T) {
+	const leader = "127.0.0.1:60000"
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	lead, err := build.LeadEntry(tenure.Lead{Holder: leader, Term: 5, Nonce: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &record{entries: []keyed.Entry{lead}, foreign: keyed.Batch{Entries: []keyed.Entry{lead}, End: 1}}
+	c, stop := start(self, r)
+	defer stop()
+	var pushed time.Time
+	for range 10 { // until the instance has started
+		c.Handlers().OnPush(&sitepb.PushRequest{From: leader, Term: 5, Peers: []string{leader, self.String()}})
+		pushed = time.Now()
+		time.Sleep(50 * time.Millisecond)
+	}
+	renewal := lead
+	renewal.Offset = 1
+	r.mu.Lock()
+	r.entries = append(r.entries, renewal)
+	r.foreign = keyed.Batch{Entries: []keyed.Entry{renewal}, End: 2}
+	r.mu.Unlock()
+	claimed := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.entries) > 2
+	}
+	for !claimed() && time.Since(pushed) < 10*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	// 0.8 s of silence and the 1.6 s that a record of the lead counts, with a margin.
+	if waited := time.Since(pushed); waited > 2650*time.Millisecond {
+		t.Errorf("claimed %v after the last push", waited)
+	}
+}
+
 // Guards against members of a large deployment that all introduce themselves to a new leader at once, which then spends its
 // first second on answering them; and against one that never does so, though the new leader can't reach it.
 func TestIntroduction(t *testing.T) {
--- a/internal/place/coord/follow.go
+++ b/internal/place/coord/follow.go
@@ -16,6 +16,9 @@
 	// askEvery is the interval at which a member without a leader reads the store. The bounds on configuration and on
 	// leaving servers, 2.5 s and more, hold with a reading every second.
 	askEvery = 700 * time.Millisecond
+	// glance is how long the first candidates hear nothing before they look for a renewal that the leader did not tell of: two
+	// pushes and their way. One that is seen later counts as a sign of life then, and puts the claim off as much.
+	glance = 800 * time.Millisecond
 	// patience is how long the members of a large deployment hear nothing before they read the store whether or not it is their
 	// turn to succeed the leader. A successor reads it for all by then; the heartbeats alone are megabytes for each of them.
 	patience = 2200 * time.Millisecond
@@ -235,7 +238,7 @@
 	}
 	// The age of the leader's lease goes on growing between its pushes.
 	unconfirmed := c.member.unconfirmed + silent
-	if silent < tenure.Silence && unconfirmed < strained || c.member.busy || c.pending || c.stopping.Load() {
+	if silent < glance && unconfirmed < strained || c.member.busy || c.pending || c.stopping.Load() {
 		return
 	}
 	if len(c.build.Moving) > 0 && silent >= tenure.Silence {
@@ -247,10 +250,10 @@
 	turn := strained + time.Duration(rank)*successorStep
 	// Keys of a server that is lost with the leader wait for the claim.
 	due := c.tenure.Claimable(now, rank) && !c.tenure.Claimable(c.member.asked, rank)
-	if waits := c.large() && silent >= tenure.Silence && silent < patience; !waits {
+	if waits := c.large() && rank > 0 && silent >= tenure.Silence && silent < patience; !waits {
 		due = due || now.Sub(c.member.asked) >= askEvery
 	}
-	if !due || silent < tenure.Silence && unconfirmed < turn {
+	if !due || silent < tenure.Silence && unconfirmed < turn && !(rank == 0 && silent >= glance) {
 		return
 	}
 	c.member.asked, c.member.busy = now, true
