Pass nothing on of an opener that gave up during a cut of the answers

The proxy looked for a reset only while requests were cut, not answers, though the opener of such a connection never gets one. Change: a connection whose opener has reset it when the cut heals is not passed on.

--- a/internal/stand/proxy/link.go
+++ b/internal/stand/proxy/link.go
@@ -105,8 +105,11 @@
 // tcpClose is the kernel's state of a connection that was reset.
 const tcpClose = 7
 
-// handshake waits until neither direction is cut.
-func (l *link) handshake() bool { return l.passable(Out) && l.passable(Back) }
+// handshake waits until neither direction is cut. An opener that has given up meanwhile has never been connected, so that
+// nothing it wrote is passed on, whichever direction was cut.
+func (l *link) handshake() bool {
+	return l.passable(Out) && l.passable(Back) && !wasReset(l.ends[Back])
+}
 
 func (l *link) read(d Direction, out chan<- chunk) {
 	defer close(out)
--- a/internal/stand/proxy/proxy_test.go
+++ b/internal/stand/proxy/proxy_test.go
@@ -242,15 +242,21 @@
 	if err := p.Target(netip.MustParseAddrPort(target.Addr().String())); err != nil {
 		t.Fatal(err)
 	}
-	for name, before := range map[string]bool{"opened before": true, "opened during": false} {
+	got := make(chan int, 3) // of whichever case: a connection that is not passed on leaves its goroutine waiting
+	for name, tc := range map[string]struct {
+		before bool
+		ways   []proxy.Direction
+	}{
+		"opened before": {before: true}, "opened during": {}, "opened during, one way": {ways: []proxy.Direction{proxy.Back}},
+	} {
+		before := tc.before
 		if !before {
-			p.Cut()
+			p.Cut(tc.ways...)
 		}
 		c, err := net.Dial("tcp", p.Address().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		got := make(chan int, 1)
 		go func() {
 			s, err := target.Accept()
 			if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,7 @@
 
 // regressions are seeds that once failed, with the cause.
 var regressions = map[uint64]string{
+	9215: "a-grant-given-up-on-a-connection-opened-during-a-cut-was-passed-on-by-the-proxy-when-it-healed",
 	5020: "a-restarted-server-before-a-change-of-leader-kept-its-keys-unserved-for-17s",
 	304:  "a-new-life-accepted-a-grant-for-the-old-one-and-its-keys-were-given-on-at-once",
 }
