Serve the requests that a caller pipelines side by side

Cause: the HTTP server of the callers' listener handled one request of a connection at a time, so that each pipelined status lookup waited for all before it.

Change: package edge/pipe reads ahead, has repeatable requests served at the same time and writes the answers in the order of the requests. A request that must not repeat runs alone. Once an answer is to close the connection, nothing behind it is started. Limits apply to a connection and to all of them together. A caller that closes is noticed by the reader at once, and input left unread after the last answer no longer resets the connection. Lines "late" and "request" have "behind".

The order is decided by pipe.Line, which rapid tests with any interleaving; each guard (order, alone, nothing behind a close, bytes) was removed in turn and found by TestLine. TestNothingBehindClose failed at first: a request was started between the decision to close and the next answer.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -1,6 +1,6 @@
 // Package entry is the HTTP frontend for callers on a platform where each request has an id of its own and is sent to a
 // single instance. It matches the route, cancels when the caller closes its connection, and writes the whole answer, or an error
-// whose status says whether the request may have run.
+// whose status says whether the request may have run. Requests that a connection brings together are served by package pipe.
 package entry
 
 import (
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/edge/accept"
+	"github.com/bramleycove/bramleycove/internal/edge/pipe"
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/sender"
@@ -36,6 +37,8 @@
 	maxHeader = 20 << 10
 	// readTimeout bounds the reading of a request, from its first byte.
 	readTimeout = 30 * time.Second
+	// writeTimeout bounds the writing of an answer to a caller that does not read.
+	writeTimeout = 30 * time.Second
 	// idleTimeout is above every idle timeout that operators publish, so that callers close idle connections first. If the
 	// instance did, a request could arrive at the same time.
 	idleTimeout = 2 * time.Minute
@@ -43,16 +46,24 @@
 	defaultTimeout = 10 * time.Second
 	// startRetryAfter is the Retry-After time while the instance has no tables yet.
 	startRetryAfter = 500 * time.Millisecond
-	// maxInProgress bounds the requests in progress, each of which holds a goroutine and buffers.
-	maxInProgress = 4096
+	// maxConns bounds the connections if the limit of open files is unknown.
+	maxConns = 4096
 )
 
+// maxPipelined bounds what a connection holds. Callers that send more wait in the buffers of their connection: a few requests
+// use the servers as well as many would, and each holds a goroutine.
+var maxPipelined = pipe.Limits{Requests: 16, Bytes: 1 << 20}
+
+// maxSpareBytes bounds what all connections hold before they read no further ahead, a twentieth of the memory of the smallest
+// instances.
+const maxSpareBytes = 9 << 20
+
 // fullAnswer is the answer to a connection beyond the limit. Nothing was read from it, so its request has not run.
 const fullAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // Config holds the settings and dependencies of a Frontend. All fields are required unless they say otherwise.
 type Config struct {
-	// MaxConns limits the callers' open connections; 0 means no limit.
+	// MaxConns limits the callers' open connections; 0 means maxConns.
 	MaxConns    int
 	Snapshot    func() *topo.Snapshot
 	ReadRequest func(h *fasthttp.Request, r *work.Request, now time.Time)
@@ -63,6 +74,8 @@
 	// AcceptFailed is called when accepting connections begins to fail, AcceptResumed when it works again. They may be nil.
 	AcceptFailed  func(err error)
 	AcceptResumed func()
+	// Panicked is called when a connection is closed because of a panic. It may be nil.
+	Panicked func(err error)
 }
 
 // Outcome describes a finished request. Route is nil if none matched, Err is nil if a server answered.
@@ -71,92 +84,124 @@
 	TablesVersion uint64
 	Status        int
 	Err           *result.Error
-	Duration      time.Duration
+	// Duration is the time from reading the request to writing its answer. Behind is the part of it in which the request or
+	// its answer waited for earlier ones of the connection.
+	Duration, Behind time.Duration
 }
 
 // Frontend serves callers. Its methods may be called by many goroutines.
 type Frontend struct {
-	cfg        Config
-	httpServer *fasthttp.Server
-	listener   accept.Listener
-	stopping   atomic.Bool
-	inProgress atomic.Int64
+	cfg      Config
+	server   *pipe.Server[*call]
+	listener accept.Listener
+	stopping atomic.Bool
+}
+
+// call is a request with what was decided when it was read, and its outcome.
+type call struct {
+	sender.Call
+	tablesVersion uint64
+	status        int
+	err           error
 }
 
 // New returns a frontend that does not listen yet.
 func New(cfg Config) *Frontend {
 	e := &Frontend{cfg: cfg}
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = maxConns
+	}
+	if cfg.Panicked == nil {
+		cfg.Panicked = func(error) {}
+	}
 	e.listener.MaxOpen, e.listener.FullAnswer = cfg.MaxConns, []byte(fullAnswer)
 	e.listener.OnFailed, e.listener.OnResumed = cfg.AcceptFailed, cfg.AcceptResumed
-	e.httpServer = &fasthttp.Server{
-		Handler: e.handle, ErrorHandler: e.answerMalformed, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		Concurrency: maxInProgress, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-	}
+	e.server = pipe.New(pipe.Config[*call]{
+		Limits: maxPipelined, SpareBytes: maxSpareBytes, ReadBuffer: maxHeader, MaxBody: maxBody,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		Read: e.read, Answer: e.answer, Malformed: answerMalformed, Done: e.observe, Panicked: cfg.Panicked,
+		Write:            func(h *fasthttp.Response, x *call, a *work.Answer) { cfg.WriteAnswer(h, a, x.ID) },
+		CloseAfterAnswer: func() bool { return e.stopping.Load() || e.listener.Crowded() },
+	})
 	return e
 }
 
 // Serve serves connections from ln until Stop. It must be called only once.
 func (e *Frontend) Serve(ln net.Listener) error {
 	e.listener.Listener = ln
-	return e.httpServer.Serve(&e.listener)
+	return e.server.Serve(&e.listener)
 }
 
 // StopKeepAlive makes every answer from now on close its connection.
 func (e *Frontend) StopKeepAlive() { e.stopping.Store(true) }
 
 // InProgress returns the number of requests in progress.
-func (e *Frontend) InProgress() int { return int(e.inProgress.Load()) }
+func (e *Frontend) InProgress() int { return e.server.InProgress() }
+
+// HeldBytes returns the bytes of requests and answers that callers' connections hold.
+func (e *Frontend) HeldBytes() int64 { return e.server.HeldBytes() }
 
 // Stop closes the listener and idle connections and waits for the requests in progress until ctx ends.
 func (e *Frontend) Stop(ctx context.Context) error {
 	e.StopKeepAlive()
-	return e.httpServer.ShutdownWithContext(ctx)
+	return e.server.Stop(ctx)
 }
 
-func (e *Frontend) handle(h *fasthttp.RequestCtx) {
-	e.inProgress.Add(1)
-	defer e.inProgress.Add(-1)
-	start := time.Now()
-	x := &sender.Call{Request: new(work.Request), ReceivedAt: start}
-	var (
-		a   work.Answer
-		err error
-	)
-	w := e.cfg.Snapshot()
-	if p := panics.Try(func() { a, err = e.routeAndSend(h, w, x, start) }); p != nil {
-		err = &result.Error{Verdict: result.MayHaveRun, Status: fasthttp.StatusInternalServerError, Reason: ReasonPanic, Cause: p.AsError()}
-	}
-	out := Outcome{Call: x, TablesVersion: w.Version, Status: a.Status, Duration: time.Since(start)}
-	if err != nil {
-		out.Err = result.FromError(err)
-		out.Status = out.Err.Status
-		a = errorAnswer(out.Err)
-	}
-	e.cfg.WriteAnswer(&h.Response, &a, x.ID)
-	if e.stopping.Load() || e.listener.Crowded() {
-		h.SetConnectionClose()
-	}
-	if e.cfg.Observe != nil {
-		e.cfg.Observe(out)
+// read decodes a request and matches its route, which tells whether it may run beside others of its connection.
+func (e *Frontend) read(h *fasthttp.Request, now time.Time) (x *call, once bool, size int) {
+	x = &call{Call: sender.Call{Request: new(work.Request), ReceivedAt: now}}
+	if p := panics.Try(func() { x.err = e.matchRoute(h, x, now) }); p != nil {
+		x.err = panicError(p)
 	}
+	return x, x.err == nil && !x.Route.MayRepeat(), x.Size()
+}
+
+func panicError(p *panics.Recovered) error {
+	return &result.Error{Verdict: result.MayHaveRun, Status: fasthttp.StatusInternalServerError, Reason: ReasonPanic, Cause: p.AsError()}
 }
 
-func (e *Frontend) routeAndSend(h *fasthttp.RequestCtx, w *topo.Snapshot, x *sender.Call, start time.Time) (work.Answer, error) {
-	e.cfg.ReadRequest(&h.Request, x.Request, start)
+func (e *Frontend) matchRoute(h *fasthttp.Request, x *call, now time.Time) error {
+	e.cfg.ReadRequest(h, x.Request, now)
+	w := e.cfg.Snapshot()
+	x.tablesVersion = w.Version
 	if w.Tables == nil {
-		return work.Answer{}, work.NewRefusal(ReasonNoTables, startRetryAfter)
+		return work.NewRefusal(ReasonNoTables, startRetryAfter)
 	}
 	if x.Route = w.Routes.Find(x.Host, x.URI); x.Route == nil {
-		return work.Answer{}, &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusNotFound, Reason: ReasonNoRoute}
+		return &result.Error{Verdict: result.NotRun, Status: fasthttp.StatusNotFound, Reason: ReasonNoRoute}
 	}
 	x.Fingerprint = crash.NewFingerprint(x.Method, x.Host+x.URI, x.Body)
-	x.Deadline = effectiveDeadline(x.Deadline, start, x.Route)
-	gone, leave := context.WithCancel(context.Background())
-	defer leave()
-	x.CallerCtx = gone
-	defer work.WatchClose(h.Conn(), leave)()
-	return e.cfg.Send(start, x)
+	x.Deadline = effectiveDeadline(x.Deadline, now, x.Route)
+	return nil
+}
+
+// answer sends a request on. The sender refuses one whose deadline passed while it waited for earlier ones.
+func (e *Frontend) answer(ctx context.Context, x *call, now time.Time) work.Answer {
+	if x.err == nil {
+		var a work.Answer
+		x.CallerCtx = ctx
+		if p := panics.Try(func() { a, x.err = e.cfg.Send(now, &x.Call) }); p != nil {
+			x.err = panicError(p)
+		}
+		if x.err == nil {
+			x.status = a.Status
+			return a
+		}
+	}
+	err := result.FromError(x.err)
+	x.err, x.status = err, err.Status
+	return errorAnswer(err)
+}
+
+func (e *Frontend) observe(x *call, behind time.Duration, now time.Time) {
+	if e.cfg.Observe == nil {
+		return
+	}
+	out := Outcome{Call: &x.Call, TablesVersion: x.tablesVersion, Status: x.status, Duration: now.Sub(x.ReceivedAt), Behind: behind}
+	if x.err != nil {
+		out.Err = result.FromError(x.err)
+	}
+	e.cfg.Observe(out)
 }
 
 // effectiveDeadline returns the earlier of the caller's deadline, if stated, and the route's timeout.
@@ -181,7 +226,7 @@
 }
 
 // answerMalformed answers requests that could not be read.
-func (e *Frontend) answerMalformed(h *fasthttp.RequestCtx, err error) {
+func answerMalformed(h *fasthttp.Response, err error) {
 	status := fasthttp.StatusBadRequest
 	switch err.(type) {
 	case *fasthttp.ErrSmallBuffer:
@@ -192,7 +237,6 @@
 	if err == fasthttp.ErrBodyTooLarge {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
-	h.Response.Reset()
 	h.SetStatusCode(status)
-	h.SetConnectionClose()
+	h.Header.SetNoDefaultContentType(true)
 }
--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// Size returns the bytes that the request holds.
+func (r *Request) Size() int {
+	n := len(r.URI) + len(r.Body)
+	for _, h := range r.Headers {
+		n += len(h.Name) + len(h.Value)
+	}
+	return n
+}
+
 // WriteRequest sets method, URI, host, headers, request id and body of h. The body is shared with r.
 func (r *Request) WriteRequest(h *fasthttp.Request) {
 	r.WriteRequestWithoutID(h)
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -154,10 +154,10 @@
 	s.meter.Series(pool, rank).RecordAnswer(o.Duration, verdict)
 	if o.Err == nil && o.Route != nil && o.Route.Target > 0 && o.Duration > o.Route.Target {
 		s.log.Info("late", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
-			"target", o.Route.Target, "took", o.Duration, "waited", o.WaitTime, "sends", o.SendCount)
+			"target", o.Route.Target, "took", o.Duration, "behind", o.Behind, "waited", o.WaitTime, "sends", o.SendCount)
 	}
 	if o.Err != nil {
 		s.log.Info("request", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
-			"verdict", verdict, "reason", reason, "wait", o.Err.RetryAfter, "took", o.Duration, "sends", o.SendCount, "cause", o.Err.Cause)
+			"verdict", verdict, "reason", reason, "wait", o.Err.RetryAfter, "took", o.Duration, "behind", o.Behind, "sends", o.SendCount, "cause", o.Err.Cause)
 	}
 }
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -98,6 +98,7 @@
 		MaxConns: int(float64(cfg.MaxOpenFiles) * callerConnShare),
 		Snapshot: s.snapshot, ReadRequest: cfg.ReadRequest, WriteAnswer: cfg.WriteAnswer, Send: s.sender.Send, Observe: s.recordOutcome,
 		AcceptFailed: s.logAcceptFailed, AcceptResumed: s.logAcceptResumed,
+		Panicked: func(err error) { s.log.Error("connection-failed", "error", err) },
 	})
 	return s
 }
