Close idle connections at once when an instance stops

Cause: input was discarded for a second before each close, also on connections that no answer had closed.

Change: input is discarded only after an answer that closes the connection.

pipe.TestStop failed before (the idle connection stayed open for 1 s).

--- a/internal/edge/pipe/conn.go
+++ b/internal/edge/pipe/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	writing bool
 	reading bool // a request has begun to arrive
 	broken  bool // nothing can be written any more
+	// closed tells that an answer has closed the connection.
+	closed atomic.Bool
 }
 
 // pending is a request whose answer is not written.
@@ -72,7 +75,7 @@
 		})
 	}
 	c.wait(func() bool { return c.broken || c.line.Done() })
-	if c.ctx.Err() == nil {
+	if c.closed.Load() && c.ctx.Err() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.CopyN(io.Discard, c.br, maxLingerBytes) // ends when the caller closes
 	}
@@ -344,6 +347,7 @@
 		return err
 	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // ends awaitInput
+	c.closed.Store(true)
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/internal/edge/pipe/conn_test.go
+++ b/internal/edge/pipe/conn_test.go
@@ -287,7 +287,8 @@
 	c.want(false, "/a")
 }
 
-// Guards against a stop that cuts off requests in progress or waits for idle connections.
+// Guards against a stop that cuts off requests in progress, and against idle connections that stay open while their input is
+// discarded: a caller that sent a request then got no answer.
 func TestStop(t *testing.T) {
 	s, b, addr := start(t, 1<<20)
 	idle, busy := dial(t, addr), dial(t, addr)
@@ -297,10 +298,10 @@
 	await(t, "both are in progress or answered", func() bool { return len(b.paths()) == 3 })
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Stop(context.Background()) }()
+	_ = idle.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
 	if n, err := io.Copy(io.Discard, idle.br); n != 0 || err != nil {
 		t.Errorf("idle connection: %d bytes, %v", n, err)
 	}
-	_ = idle.Close()
 	close(b.release)
 	busy.want(true, "/hold", "/b")
 	_ = busy.Close()
