Bound the memory of answers that come without end

Cause: an answer was read up to 64 MB whatever the memory of the instance, 184 MB on the smallest, and interim answers were skipped without a limit. A faulty server that sends without end until its caller closes could take the memory of an instance.

Change: connections count the bytes of each answer. Beyond 64 KB they are taken from a budget that all connections to servers share, an eighth of the memory on the users' platform; 16 interim answers are skipped at most. The request fails as cut short, the connection is closed, and other requests are served meanwhile.

conns.TestEndless plays a head, lines, chunks, a body, a trailer, interim answers and single bytes without end. Without the budget it saw 73 MB taken for a body; without the limit of interim answers, they were read until the connection ended.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -35,6 +35,8 @@
 	ErrMismatch = errors.New("answer of another request")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
+	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
+	ErrInterim = errors.New("too many interim answers")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = errors.New("connection pool closed")
 )
@@ -71,6 +73,8 @@
 	// IdleTimeout is how long an idle connection may be used again; 0 means 4 s. A shorter time in a server's
 	// Keep-Alive header takes precedence.
 	IdleTimeout time.Duration
+	// Budget bounds the large answers that are being read; nil means one that is shared by all such pools.
+	Budget *Budget
 }
 
 // New returns a pool of at most limit connections to addr; limit 0 means no limit.
@@ -108,6 +112,9 @@
 	abandoned bool
 	br        *bufio.Reader
 	bw        *bufio.Writer
+	budget    *Budget
+	// received counts the bytes of the answer in progress, budgeted those of them that were taken from budget.
+	received, budgeted int64
 }
 
 // Write records whether any byte of p was accepted. Only the first write of a request is bound by sendBefore: the permission
@@ -171,6 +178,7 @@
 // exchange sends req and reads the answer. reuse reports whether the connection may carry another request.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, sendBefore time.Time) (reuse bool, err error) {
 	c.sent, c.sendBefore = false, sendBefore
+	defer c.resetReceived()
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
@@ -295,9 +303,12 @@
 	return d
 }
 
+// maxInterim bounds the interim (1xx) answers to one request. Each costs processor time.
+const maxInterim = 16
+
 // readHeader reads the header of the final answer and skips interim (1xx) ones.
 func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
-	for {
+	for range maxInterim + 1 {
 		if err := resp.Header.Read(br); err != nil {
 			return err
 		}
@@ -305,6 +316,7 @@
 			return nil
 		}
 	}
+	return ErrInterim
 }
 
 // acquire returns an idle connection on which nothing has arrived, or a new one.
@@ -328,7 +340,12 @@
 			return nil, false, ErrReset
 		}
 	}
-	return &conn{Conn: nc, br: bufio.NewReader(nc), bw: bufio.NewWriter(nil)}, true, nil
+	c = &conn{Conn: nc, bw: bufio.NewWriter(nil), budget: p.Budget}
+	if c.budget == nil {
+		c.budget = defaultBudget
+	}
+	c.br = bufio.NewReader(c)
+	return c, true, nil
 }
 
 func (p *Pool) reserve(now time.Time, maxIdle time.Duration) (*conn, error) {
