Count a renewal of the lead that is read in the store

Cause: an append whose answer was lost did not count as a renewal when the leader read its own record after the next append's conflict.

Change: elect.Leadership remembers its appends by nonce; a record with such a nonce confirms the lease from the start of its append, and its members become those of the quorum.

elect.TestRenewalAnswerLost failed without it ("may not act 2.399s after a renewal that it has read").

--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -116,7 +116,7 @@
 	c.member.followedAt, c.member.followedEarlierAt = cfg.Now(), cfg.Now()
 	c.member.heardAt = c.member.followedAt.Add(-elect.LeaderTimeout)
 	c.builder = build.Builder{
-		Decoder: cfg.Decoder, Log: cfg.Events, OnLead: func(l elect.LeadRecord) { c.leadership.Observe(cfg.Now(), l) },
+		Decoder: cfg.Decoder, Log: cfg.Events, OnLead: c.observeLead,
 	}
 	c.book = &mirror.Streams{OnChange: c.applyEntries, SameValue: cfg.SameValue, OmitFromPushes: build.IsLeadRenewal}
 	c.reader = &reads.Reader{Log: cfg.Log, Streams: c.book, Events: cfg.Events, Now: cfg.Now}
@@ -128,6 +128,13 @@
 	return c
 }
 
+// observeLead takes a lead record of the place stream. c.mu is held.
+func (c *Coordinator) observeLead(l elect.LeadRecord) {
+	if c.leadership.Observe(c.cfg.Now(), l) && c.leader != nil {
+		c.leader.quorum.SetMembers(l.Members)
+	}
+}
+
 // runInBackground starts a goroutine that Run waits for.
 func (c *Coordinator) runInBackground(call func()) {
 	c.backgroundCalls.Go(func() { c.log.Guard(call) })
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -201,6 +201,7 @@
 		}
 	}
 	next := c.leadership.NextRecord(rand.Uint64(), c.leader.peers, c.needsNewTerm(now))
+	c.leadership.BeginAppend(now, next)
 	end, _ := c.book.End(keyed.Place)
 	l := c.leader
 	c.runInBackground(func() { c.writeRecord(l, end, next, ownerRecords, fence) })
--- a/internal/place/elect/elect_test.go
+++ b/internal/place/elect/elect_test.go
@@ -58,7 +58,9 @@
 					took = time.Duration(rng.IntN(6000)) * time.Millisecond // it is suspended
 				}
 				busy[i] = now + took
-				l, ok := s.append(len(s.records), x.NextRecord(rng.Uint64(), nil, false))
+				next := x.NextRecord(rng.Uint64(), nil, false)
+				x.BeginAppend(at, next)
+				l, ok := s.append(len(s.records), next)
 				if !ok {
 					continue
 				}
@@ -348,3 +350,37 @@
 	// false false
 	// true true
 }
+
+// Guards against a leader that lets its lease run out although the store has its renewals: their answers were lost, and it did not
+// count the renewals when it read them. Keys waited for the next leader meanwhile.
+func TestRenewalAnswerLost(t *testing.T) {
+	a := &elect.Leadership{Self: "a"}
+	first := a.NextRecord(1, nil, false)
+	first.Offset = 1
+	a.ConfirmAppend(epoch, epoch, first)
+	renewal := a.NextRecord(2, nil, false)
+	begun := epoch.Add(time.Second)
+	a.BeginAppend(begun, renewal)
+	renewal.Offset = 2
+	a.Observe(epoch.Add(2300*time.Millisecond), renewal)
+	if at := begun.Add(elect.LeaseDuration - time.Millisecond); !a.MayAct(at, nil) {
+		t.Errorf("the holder may not act %v after a renewal that it has read", at.Sub(begun))
+	}
+	if at := begun.Add(elect.LeaseDuration); a.MayAct(at, nil) {
+		t.Error("the lease counts from the reading of the renewal, not from its append")
+	}
+	// The record of another process under the same address is no renewal by this one.
+	stranger := renewal
+	stranger.Nonce, stranger.Offset = 3, 3
+	a.Observe(epoch.Add(3300*time.Millisecond), stranger)
+	if a.MayAct(begun.Add(elect.LeaseDuration), nil) {
+		t.Error("a record that this process did not append renews its lease")
+	}
+	// A claim ends the lead, and an earlier renewal that is read after it does not bring it back.
+	a.BeginAppend(epoch.Add(3*time.Second), elect.LeadRecord{Holder: "a", Term: 1, Nonce: 4})
+	a.Observe(epoch.Add(3400*time.Millisecond), elect.LeadRecord{Holder: "b", Term: 2, Nonce: 9, Offset: 5})
+	a.Observe(epoch.Add(3400*time.Millisecond), elect.LeadRecord{Holder: "a", Term: 1, Nonce: 4, Offset: 4})
+	if a.MayAct(epoch.Add(3500*time.Millisecond), nil) {
+		t.Error("the holder acts after the claim of another instance")
+	}
+}
--- a/internal/place/elect/leadership.go
+++ b/internal/place/elect/leadership.go
@@ -46,12 +46,43 @@
 	renewedOffset  uint64    // of the newest renewal that the holder reported
 	isHolder       bool
 	confirmedStart time.Time // start of the last confirmed append of this instance
+	pending        []pendingAppend
 }
 
-// Observe takes a record of the lead, unless it knows a newer one.
-func (l *Leadership) Observe(now time.Time, r LeadRecord) {
+// pendingAppend is an append of this instance whose answer may be lost.
+type pendingAppend struct {
+	nonce uint64
+	start time.Time
+}
+
+// maxPending bounds the appends that are remembered. One ends before the next begins, and the store carries a late one out within
+// six seconds.
+const maxPending = 16
+
+// BeginAppend notes that an append of r begins. If its answer is lost, the record itself, once it is read, confirms it.
+func (l *Leadership) BeginAppend(start time.Time, r LeadRecord) {
+	l.pending = append(l.pending, pendingAppend{r.Nonce, start})
+	if n := len(l.pending) - maxPending; n > 0 {
+		l.pending = append(l.pending[:0], l.pending[n:]...)
+	}
+}
+
+// confirmPending counts r as confirmed if it is a renewal that this process appended, and reports whether it is.
+func (l *Leadership) confirmPending(r LeadRecord) bool {
+	for _, p := range l.pending {
+		if l.isHolder && !r.Resigned && r.Holder == l.Self && r.Nonce == p.nonce && p.start.After(l.confirmedStart) {
+			l.confirmedStart = p.start
+			return true
+		}
+	}
+	return false
+}
+
+// Observe takes a record of the lead, unless it knows a newer one. confirmed reports that r is a renewal by this instance of which
+// the store's answer was not known: the members recorded with it are now those of its quorum.
+func (l *Leadership) Observe(now time.Time, r LeadRecord) (confirmed bool) {
 	if l.hasRecord && r.Offset <= l.record.Offset {
-		return
+		return false
 	}
 	if r.Holder != l.Self {
 		l.isHolder = false
@@ -60,6 +91,7 @@
 		l.renewedAt = now
 	}
 	l.record, l.hasRecord = r, true
+	return l.confirmPending(r)
 }
 
 // ObserveRenewal takes the holder's report that the store has a renewal at that offset.
