--- a/internal/edge/entry/bench_test.go
+++ b/internal/edge/entry/bench_test.go
@@ -25,6 +25,7 @@
 		for _, depth := range []int{1, 8} {
 			b.Run(fmt.Sprintf("server=%v/depth=%d", server, depth), func(b *testing.B) {
 				w := snapshotWithRoutes()
+				w.Servers = map[string]*topo.Server{"s": {}}
 				e := entry.New(entry.Config{
 					Snapshot:    func() *topo.Snapshot { return w },
 					ReadRequest: func(h *fasthttp.Request, r *work.Request, _ time.Time) { r.ReadRequest(h) },
@@ -68,8 +69,8 @@
 			return
 		}
 		for range depth {
-			if err := resp.Read(br); err != nil {
-				b.Error(err)
+			if err := resp.Read(br); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+				b.Errorf("status %d, %v", resp.StatusCode(), err)
 				return
 			}
 		}
