Wait for the last answer to be written before a connection is closed

If the reader looked at it before that was written, it closed the connection, and the answer was lost.

Change: the reader also waits for the writer.

pipe.TestLastAnswerWritten failed 5 of 5 times before ("EOF"), and passes 3 of 3 with -race now.

--- a/internal/edge/pipe/conn.go
+++ b/internal/edge/pipe/conn.go
@@ -74,7 +74,7 @@
 			return c.broken || c.line.Stopped() || c.line.HasRoom(c.s.heldBytes.Load() < c.s.cfg.SpareBytes)
 		})
 	}
-	c.wait(func() bool { return c.broken || c.line.Done() })
+	c.wait(func() bool { return c.broken || c.line.Done() && !c.writing })
 	if c.closed.Load() && c.ctx.Err() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.CopyN(io.Discard, c.br, maxLingerBytes) // ends when the caller closes
--- a/internal/edge/pipe/conn_test.go
+++ b/internal/edge/pipe/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/edge/pipe"
@@ -25,6 +27,7 @@
 	cancelled int
 	release   chan struct{}
 	closing   bool
+	writeTime time.Duration // of each answer
 }
 
 func (b *backend) answer(ctx context.Context, path string, _ time.Time) work.Answer {
@@ -76,7 +79,10 @@
 			return string(h.RequestURI()) + string(h.Body()), string(h.Header.Method()) == "POST", 100 + len(h.Body())
 		},
 		Answer: b.answer, CloseAfterAnswer: b.isClosing,
-		Write:     func(h *fasthttp.Response, _ string, a *work.Answer) { a.WriteResponseWithoutVerdict(h) },
+		Write: func(h *fasthttp.Response, _ string, a *work.Answer) {
+			time.Sleep(b.writeTime)
+			a.WriteResponseWithoutVerdict(h)
+		},
 		Malformed: func(h *fasthttp.Response, _ error) { h.SetStatusCode(400) },
 		Done:      func(string, time.Duration, time.Time) {}, Panicked: func(error) {},
 	})
@@ -206,6 +212,32 @@
 	}
 }
 
+// Guards against a connection that is closed while its last answer is being written: the answer was lost now and then.
+func TestLastAnswerWritten(t *testing.T) {
+	_, b, addr := start(t, 1<<20)
+	b.writeTime = time.Millisecond
+	// It takes many connections for the writer to begin before the reader waits for it.
+	var wg conc.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			for range 150 {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				var resp fasthttp.Response
+				_, err = c.Write([]byte("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+				if err = errors.Join(err, resp.Read(bufio.NewReader(c)), c.Close()); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Guards against work that goes on for a caller that has left, and against bytes that stay counted for it.
 func TestCallerLeaves(t *testing.T) {
 	s, b, addr := start(t, 1<<20)
