Count the wait behind earlier requests of a connection

Change: histogram behind_seconds by pool and rank, gauge held_bytes. meter.TestText, no measurement.

--- a/internal/oper/meter/meter.go
+++ b/internal/oper/meter/meter.go
@@ -53,8 +53,8 @@
 
 // Series holds the request metrics of one tenant and rank.
 type Series struct {
-	latency, wait tally.Histogram
-	requests      [verdictCount]tally.Counter
+	latency, wait, behind tally.Histogram
+	requests              [verdictCount]tally.Counter
 }
 
 const verdictCount = int(result.Ran) + 1
@@ -93,7 +93,10 @@
 
 func (m *Meter) newSeries(key seriesKey) *Series {
 	scope := m.scope.Tagged(map[string]string{"tenant": key.tenant, "rank": key.rank})
-	s := &Series{latency: scope.Histogram("latency_seconds", buckets), wait: scope.Histogram("wait_seconds", buckets)}
+	s := &Series{
+		latency: scope.Histogram("latency_seconds", buckets), wait: scope.Histogram("wait_seconds", buckets),
+		behind: scope.Histogram("behind_seconds", buckets),
+	}
 	for v := range s.requests {
 		tagged := scope.Tagged(map[string]string{"verdict": result.Verdict(v).String()})
 		s.requests[v] = tagged.Counter("requests_total")
@@ -112,6 +115,9 @@
 // RecordWait records how long a request waited in a dispatcher's queue.
 func (s *Series) RecordWait(d time.Duration) { s.wait.RecordDuration(d) }
 
+// RecordBehind records how long a request and its answer waited for earlier ones of the same connection.
+func (s *Series) RecordBehind(d time.Duration) { s.behind.RecordDuration(d) }
+
 // Counter returns the counter with a name, given without prefix, and tags.
 func (m *Meter) Counter(name string, tags map[string]string) tally.Counter {
 	return m.scope.Tagged(tags).Counter(name)
--- a/internal/oper/meter/meter_test.go
+++ b/internal/oper/meter/meter_test.go
@@ -22,6 +22,7 @@
 	s := m.Series("tenant0", "bulk")
 	s.RecordAnswer(3*time.Millisecond, result.Ran)
 	s.RecordAnswer(time.Minute, result.MayHaveRun)
+	s.RecordBehind(300 * time.Millisecond)
 	m.Counter("strikes_total", nil).Inc(2)
 	m.Gauge("queued", map[string]string{"lane": "l"}).Update(4)
 	if err := m.Close(); err != nil {
@@ -36,6 +37,7 @@
 		`bramleycove_latency_seconds_count{rank="bulk",tenant="tenant0"} 2`,
 		`bramleycove_requests_total{rank="bulk",tenant="tenant0",verdict="may-have-run"} 1`,
 		`bramleycove_wait_seconds_count{rank="other",tenant="other"} 100`,
+		`bramleycove_behind_seconds_bucket{rank="bulk",tenant="tenant0",le="0.5"} 1`,
 		"bramleycove_strikes_total 2",
 		`bramleycove_queued{lane="l"} 4`,
 	} {
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -96,6 +96,7 @@
 }
 
 func (s *Instance) handleMetrics(h *fasthttp.RequestCtx) {
+	s.meter.Gauge("held_bytes", nil).Update(float64(s.frontend.HeldBytes()))
 	text, err := s.meter.Text()
 	if err != nil {
 		s.log.Warn("metrics-incomplete", "error", err)
@@ -137,6 +138,9 @@
 
 var outcomeNames = [...]string{"done", "shed", "timeout", "broken", "abandoned", "neutral"}
 
+// minBehind is the least time behind earlier requests that is counted: most requests have none before them.
+const minBehind = time.Millisecond
+
 // recordOutcome records the metrics of a finished request and logs it if it failed or was late.
 func (s *Instance) recordOutcome(o entry.Outcome) {
 	verdict, reason := result.Ran, ""
@@ -151,7 +155,11 @@
 		}
 	}
 	// One series for each pool and rank, because there may be thousands of routes.
-	s.meter.Series(pool, rank).RecordAnswer(o.Duration, verdict)
+	series := s.meter.Series(pool, rank)
+	series.RecordAnswer(o.Duration, verdict)
+	if o.Behind >= minBehind {
+		series.RecordBehind(o.Behind)
+	}
 	if o.Err == nil && o.Route != nil && o.Route.Target > 0 && o.Duration > o.Route.Target {
 		s.log.Info("late", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
 			"target", o.Route.Target, "took", o.Duration, "behind", o.Behind, "waited", o.WaitTime, "sends", o.SendCount)
