--- a/internal/flow/pick/draw.go
+++ b/internal/flow/pick/draw.go
@@ -90,8 +90,8 @@
 	return max(t, time.Millisecond).Seconds() * (1 + 4*c.errorRate)
 }
 
-// MinShared is the part of the servers whose answer times must be known to draw by them.
-const MinShared = 0.5
+// minShared is the part of the servers whose answer times must be known for Draw.
+const minShared = 0.5
 
 // MayDraw reports whether enough of the answer times are known for Draw.
 func MayDraw(candidates []Candidate) bool {
@@ -101,5 +101,5 @@
 			known++
 		}
 	}
-	return known > 0 && float64(known) >= MinShared*float64(len(candidates))
+	return known > 0 && float64(known) >= minShared*float64(len(candidates))
 }
