--- a/internal/place/load/load_test.go
+++ b/internal/place/load/load_test.go
@@ -79,3 +79,32 @@
 		t.Error("a server that last answered 1.2 s ago has recent answers")
 	}
 }
+
+// Guards against answer times of servers that have not answered for long, which would draw requests to them, and against memory
+// that grows with each server that was ever seen.
+func TestMeanLatencies(t *testing.T) {
+	e := load.New()
+	servers := []*topo.Server{{Owner: spans.Owner{Server: "quick"}}, {Owner: spans.Owner{Server: "silent"}}, {Owner: spans.Owner{Server: "unknown"}}}
+	e.CountAnswers("silent", 3, time.Second)
+	latencies := func(intervals int) (out string) {
+		for range intervals {
+			e.CountAnswers("quick", 2, 200*time.Millisecond)
+			e.EndInterval()
+		}
+		for _, l := range e.MeanLatencies(servers) {
+			out += fmt.Sprint(l.GetServer(), " ", l.GetMillis(), ";")
+		}
+		return out
+	}
+	if got := latencies(1); got != "quick 200;silent 1000;" {
+		t.Errorf("after one interval: %s", got)
+	}
+	if got := latencies(30); got != "quick 200;" {
+		t.Errorf("after nine seconds without an answer of one server: %s", got)
+	}
+	latencies(200)
+	e.CountAnswers("silent", 1, 300*time.Millisecond)
+	if got := latencies(1); got != "quick 200;silent 300;" {
+		t.Errorf("after its next answer: %s; want its former answer time forgotten", got)
+	}
+}
