Log the limits that servers name

Answers are decoded with the limit they name, each instance keeps the newest one of a server's incarnation in a book, and logs a line event=server-limit when one is learnt, changes or ends. Nothing acts on it yet.

--- a/internal/flow/sender/report.go
+++ b/internal/flow/sender/report.go
@@ -34,8 +34,10 @@
 	r := Report{KeyLoads: c.keyLoads, Strikes: c.crashes.RecentStrikes(now, maxStrikeAge)}
 	c.keyLoads = make(map[PoolKey]int)
 	w, _ := c.cfg.Snapshot()
+	exists := make(map[string]bool, len(w.Servers))
 	for _, s := range w.Servers {
-		st := c.servers[incarnationID(s)]
+		exists[IncarnationID(s)] = true
+		st := c.servers[IncarnationID(s)]
 		if st == nil {
 			continue
 		}
@@ -43,6 +45,7 @@
 			r.Latencies = append(r.Latencies, ServerLatency{s.Server, n, mean})
 		}
 	}
+	c.cfg.Limits.Prune(now, func(incarnation string) bool { return exists[incarnation] })
 	for id, st := range c.servers {
 		if st.InFlight() == 0 && now.Sub(st.lastUsed) > maxUnused {
 			st.pool.Close()
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -20,6 +20,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/pick"
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/retry"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
@@ -61,6 +62,8 @@
 	work.Answer
 	Refusal         Refusal
 	Signed, Leaving bool
+	// Limit is the rate of requests that the server takes from all instances together, if the answer names one.
+	Limit quota.Named
 }
 
 // Config holds the settings and dependencies of a Sender. All fields are required unless they say otherwise.
@@ -75,6 +78,8 @@
 	ConnOptions   conns.Options
 	// RetryRatio is the number of retries per request and RetrySlack the burst beyond it, for all instances together.
 	RetryRatio, RetrySlack float64
+	// Limits is where the limits that servers name are recorded. It may be nil.
+	Limits *quota.Book
 	// OnStrike is called when a request seems to have crashed a server. It may be nil.
 	OnStrike func(fp crash.Fingerprint, s *topo.Server)
 	// OnAttempt is called after each attempt, for logs. It may be nil.
@@ -114,6 +119,9 @@
 // New returns a sender without connections.
 func New(instance string, cfg Config) *Sender {
 	seed := xxhash.Sum64String(instance)
+	if cfg.Limits == nil {
+		cfg.Limits = new(quota.Book)
+	}
 	return &Sender{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
 		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int),
@@ -458,7 +466,7 @@
 
 // stateOf returns the state of a server and updates its share. c.mu is held.
 func (c *Sender) stateOf(now time.Time, s *topo.Server) *serverState {
-	id := incarnationID(s)
+	id := IncarnationID(s)
 	st := c.servers[id]
 	if st == nil || st.addr != s.Address {
 		st = &serverState{pool: conns.NewWith(s.Address, c.connShare(s), c.cfg.ConnOptions), addr: s.Address}
@@ -468,8 +476,8 @@
 	return st
 }
 
-// incarnationID identifies one incarnation of a server.
-func incarnationID(s *topo.Server) string { return s.Server + "/" + strconv.FormatInt(s.StartMs, 36) }
+// IncarnationID identifies one incarnation of a server.
+func IncarnationID(s *topo.Server) string { return s.Server + "/" + strconv.FormatInt(s.StartMs, 36) }
 
 // requestsPerSlot is how many requests a server takes for each slot: one runs and two wait, which at usual answer times
 // still meet their target latency.
@@ -511,6 +519,7 @@
 	now := time.Now()
 	if err == nil {
 		r = c.cfg.ReadReply(resp)
+		c.cfg.Limits.Observe(now, IncarnationID(t.Server), r.Limit, r.Signed && r.Refusal == NotRefused)
 	}
 	out, verdict := classify(ctx, x, r, sent, err)
 	if sent {
--- a/internal/oper/site/report.go
+++ b/internal/oper/site/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
@@ -54,3 +55,8 @@
 	}
 	s.sender.SetSharedLatencies(now, shared)
 }
+
+// logLimit logs that a server's limit was learnt, has changed or has ended.
+func (s *Instance) logLimit(incarnation string, l quota.Limit) {
+	s.log.Info("server-limit", "server", incarnation, "rate", l.Rate, "ended", l.Ended)
+}
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/edge/entry"
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/sender"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/clock"
@@ -68,6 +69,7 @@
 	sender   *sender.Sender
 	frontend *entry.Frontend
 	coord    *coord.Coordinator
+	limits   *quota.Book // that servers have named
 	stopping atomic.Bool
 	// startedAt is when New was called.
 	startedAt time.Time
@@ -80,6 +82,7 @@
 // New returns an instance that starts with Run.
 func New(cfg Config) *Instance {
 	s := &Instance{cfg: cfg, log: cfg.Logger, meter: meter.New(), seeds: cfg.Seeds, grace: cfg.Grace, startedAt: time.Now()}
+	s.limits = &quota.Book{OnChange: s.logLimit}
 	s.coord = coord.New(coord.Config{
 		Self: cfg.Peers, DC: cfg.Location.DC, Region: cfg.Location.Region, Seeds: s.currentSeeds, Small: cfg.LowCapacity, MaxHold: cfg.MaxHold, Now: clock.Now, Log: cfg.Log,
 		SameValue: func(topic keyed.Topic, old, value []byte) bool {
@@ -91,7 +94,7 @@
 	s.sender = sender.New(cfg.Instance, sender.Config{
 		Location: cfg.Location, Snapshot: s.coord.Snapshot, InstanceCount: s.coord.InstanceCount,
 		WriteRequest: cfg.WriteRequest, ReadReply: cfg.ReadAnswer, ConnOptions: cfg.ServerConnOptions,
-		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, OnAttempt: s.recordAttempt,
+		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, Limits: s.limits, OnAttempt: s.recordAttempt,
 		OnStrike: func(fp crash.Fingerprint, srv *topo.Server) {
 			s.log.Warn("strike", "print", hex.EncodeToString(fp[:]), "server", srv.Server)
 		},
