--- a/test/platf/fleet.go
+++ b/test/platf/fleet.go
@@ -62,6 +62,7 @@
 	Sent, Done         time.Time
 	Status             int
 	Stamp, Body        string
+	RetryAfter         string
 	Err                error
 }
 
@@ -295,6 +296,7 @@
 	x.Done = time.Now()
 	if x.Err == nil {
 		x.Status, x.Body = resp.StatusCode(), string(resp.Body())
+		x.RetryAfter = string(resp.Header.Peek("Retry-After"))
 		x.Stamp = string(resp.Header.Peek("X-Bramleycove-Server-Stamp"))
 	}
 	c.mu.Lock()
@@ -303,6 +305,13 @@
 	return x
 }
 
+// Calls returns the calls so far.
+func (f *Fleet) Calls() []*Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Call(nil), f.calls...)
+}
+
 // Await waits until cond holds and reports whether it did within d.
 func Await(d time.Duration, cond func() bool) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
--- a/test/platf/judge.go
+++ b/test/platf/judge.go
@@ -11,9 +11,7 @@
 
 // Judge compares what callers got with what the servers did and returns what breaks a promise.
 func (f *Fleet) Judge() (faults []string) {
-	f.mu.Lock()
-	calls := append([]*Call(nil), f.calls...)
-	f.mu.Unlock()
+	calls := f.Calls()
 	runs := make(map[string][]stands.Run)
 	f.Journal.Each(func(r stands.Run) { runs[r.Request] = append(runs[r.Request], r) })
 	known := make(map[string]bool)
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -60,6 +60,8 @@
 	loseOne  bool          // the next answer is lost
 	beats    int
 	silenced bool // it does not reach the store
+	limit    string
+	arrivals []time.Time
 }
 
 // Start begins to listen and to register every heartbeat.
@@ -147,6 +149,20 @@
 	s.lateBy = d
 }
 
+// NameLimit makes the server name a limit in its answers, none if it is empty.
+func (s *Server) NameLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// Arrivals returns when requests arrived, those that were refused included.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // LoseAnswer makes the server lose the next answer of a request that it ran.
 func (s *Server) LoseAnswer() {
 	s.mu.Lock()
@@ -332,6 +348,10 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
+	s.arrivals = append(s.arrivals, now)
+	if s.limit != "" {
+		h.Response.Header.Set("Server-Limit", s.limit)
+	}
 	expect := string(h.Request.Header.Peek("X-Bramleycove-Expect-Instance"))
 	switch {
 	case expect != "" && expect != s.ID, key >= 0 && !s.holding(key, now):
