Keep to the limits that servers name, with permits of the leader

Cause: no instance read Server-Limit; each only guessed a server's room from answer times.

Each send to a server with a limit now needs a permit of the leader, which keeps one bucket a server (docs/quota.md). Every instance keeps the newest limit in a book, from its own answers, pushes and calls; without a leader the instances use half of the limit in equal shares that can't be saved up. What is over the limit is refused at once, not run, with the time to come back. The leader takes the limit as the capacity of a server when it places keys.

--- a/internal/flow/quota/book.go
+++ b/internal/flow/quota/book.go
@@ -32,12 +32,8 @@
 	Seen  time.Time // when an instance last read so in an answer
 }
 
-const (
-	// endingAnswers is how many answers in a row without a limit end it: answers of one server may arrive out of order.
-	endingAnswers = 2
-	// endedKept is how long an ended limit is remembered, so that older reports of other instances don't restore it.
-	endedKept = 30 * time.Second
-)
+// endedKept is how long an ended limit is remembered, so that older reports of other instances don't restore it.
+const endedKept = 30 * time.Second
 
 // Book holds the limits that are known to an instance. The zero value is empty. It may be used by many goroutines.
 type Book struct {
@@ -50,66 +46,89 @@
 
 type bookEntry struct {
 	Limit
-	unnamed int // answers without a limit since the last one with it
+	observed  bool // in an answer to this instance
+	changedAt time.Time
 }
 
-// Observe takes an answer of a server's incarnation. ran tells that it is the answer to a request that the server ran: a
-// refusal or a failure on the way says nothing about the end of a limit.
-func (b *Book) Observe(now time.Time, incarnation string, named Named, ran bool) {
+// Observe takes an answer of a server's incarnation to a request that was sent at sent. ran tells that the server ran it and did
+// not fail: other answers don't show that a limit has ended.
+func (b *Book) Observe(now, sent time.Time, incarnation string, named Named, ran bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.limits[incarnation]
 	switch {
 	case named.Set:
-		b.set(incarnation, Limit{Rate: named.Rate, Seen: now})
+		b.set(now, incarnation, Limit{Rate: named.Rate, Seen: now}, true)
 	case e == nil || e.Ended || !ran:
-	default:
-		if e.unnamed++; e.unnamed >= endingAnswers {
-			b.set(incarnation, Limit{Ended: true, Seen: now})
-		}
+	case sent.After(e.Seen): // an earlier request may have been answered before the server named its limit
+		b.set(now, incarnation, Limit{Ended: true, Seen: now}, true)
 	}
 }
 
+// mergeTolerance is how much newer the same limit has to be to be taken from another instance. The time that messages take
+// would otherwise make it seem newer each time it is passed on, and an answer that ends it too old.
+const mergeTolerance = time.Second
+
 // Merge takes what another instance knows. The newest of both counts.
-func (b *Book) Merge(incarnation string, l Limit) {
+func (b *Book) Merge(now time.Time, incarnation string, l Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.limits[incarnation]; e == nil || l.Seen.After(e.Seen) {
-		b.set(incarnation, l)
+	e := b.limits[incarnation]
+	if e == nil || l.Seen.After(e.Seen) && (l.Rate != e.Rate || l.Ended != e.Ended || l.Seen.Sub(e.Seen) > mergeTolerance) {
+		b.set(now, incarnation, l, false)
 	}
 }
 
 // set replaces an entry. b.mu is held.
-func (b *Book) set(incarnation string, l Limit) {
+func (b *Book) set(now time.Time, incarnation string, l Limit, observed bool) {
 	if b.limits == nil {
 		b.limits = make(map[string]*bookEntry)
 	}
 	old := b.limits[incarnation]
-	b.limits[incarnation] = &bookEntry{Limit: l}
-	changed := old == nil && !l.Ended || old != nil && (old.Rate != l.Rate || old.Ended != l.Ended)
-	if changed && b.OnChange != nil {
+	e := &bookEntry{Limit: l, observed: observed, changedAt: now}
+	b.limits[incarnation] = e
+	switch {
+	case old == nil && l.Ended:
+	case old != nil && old.Rate == l.Rate && old.Ended == l.Ended:
+		e.changedAt = old.changedAt
+	case b.OnChange != nil:
 		b.OnChange(incarnation, l)
 	}
 }
 
 // Limit returns the limit in force of a server's incarnation.
 func (b *Book) Limit(incarnation string) (l Limit, ok bool) {
+	l, ok = b.Known(incarnation)
+	return l, ok && !l.Ended
+}
+
+// Known returns what is known of a server's incarnation, also if its limit has ended.
+func (b *Book) Known(incarnation string) (l Limit, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.limits[incarnation]
-	if e == nil || e.Ended {
+	if e == nil {
 		return Limit{}, false
 	}
 	return e.Limit, true
 }
 
-// Known returns the limits, ended ones included, that were seen after since.
-func (b *Book) Known(since time.Time) map[string]Limit {
+// Observed returns what this instance itself has seen in answers after since, ended limits included.
+func (b *Book) Observed(since time.Time) map[string]Limit {
+	return b.find(func(e *bookEntry) bool { return e.observed && e.Seen.After(since) })
+}
+
+// Current returns the limits in force, and those that have ended after since.
+func (b *Book) Current(since time.Time) map[string]Limit {
+	return b.find(func(e *bookEntry) bool { return !e.Ended || e.changedAt.After(since) })
+}
+
+func (b *Book) find(matches func(*bookEntry) bool) map[string]Limit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]Limit)
 	for id, e := range b.limits {
-		if e.Seen.After(since) {
+		if matches(e) {
 			out[id] = e.Limit
 		}
 	}
--- /dev/null
+++ b/internal/flow/sender/permit.go
@@ -0,0 +1,78 @@
+package sender
+
+import (
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/flow/limit"
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
+)
+
+// minDenial is the least time for which a server is not asked for again after a refused permit.
+const minDenial = 5 * time.Millisecond
+
+// denial is the latest refused permit for a server.
+type denial struct {
+	rank     int // lower ranks, which are higher numbers, are refused as well
+	until    time.Time
+	returnAt time.Time // when the refused caller should come again
+}
+
+// deniedError is the failure to choose a server because those with room are at their limits.
+type deniedError denial
+
+func (*deniedError) Error() string { return "servers are at the limits that they have named" }
+
+// limitRefusal returns the error for a caller. All that are refused before the next permit may be asked for have the same time
+// to return, so that it is spread.
+func (c *Sender) limitRefusal(now time.Time, e *deniedError) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := max(e.returnAt.Sub(now), shortRetryAfter)
+	return work.NewRefusal(ReasonServerLimit, d+time.Duration(c.rnd.Int64N(int64(d/2))))
+}
+
+// deniedUntil returns the refusal that holds for a rank, nil if there is none.
+func (d *denial) deniedUntil(now time.Time, rank int) *deniedError {
+	if rank < d.rank || !now.Before(d.until) {
+		return nil
+	}
+	return (*deniedError)(d).copy()
+}
+
+func (e *deniedError) copy() *deniedError {
+	out := *e
+	return &out
+}
+
+// deny records a refused permit. One for a more urgent rank stays in force, as it also refuses this one.
+func (d *denial) deny(now time.Time, rank int, q quota.Decision) {
+	if now.Before(d.until) && d.rank <= rank {
+		d.returnAt = now.Add(q.Return)
+		return
+	}
+	*d = denial{rank: rank, until: now.Add(max(q.Wait, minDenial)), returnAt: now.Add(q.Return)}
+}
+
+// takePermit reports whether a request may be sent to the chosen server. If not, t is given up and the server is not asked
+// for again until it may be permitted.
+func (c *Sender) takePermit(now time.Time, x *Call, t *target) bool {
+	if c.cfg.AskPermit == nil {
+		return true
+	}
+	id := t.Server.Incarnation()
+	if _, limited := c.cfg.Limits.Limit(id); !limited {
+		return true
+	}
+	q := c.cfg.AskPermit(now, id, x.Route.Priority)
+	if q.OK {
+		return true
+	}
+	now = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.state.Finish(now, limit.Neutral, 0, 0, false)
+	t.state.deny(now, x.Route.Priority, q)
+	delete(x.tried, t.ownershipID)
+	return false
+}
--- a/internal/flow/sender/report.go
+++ b/internal/flow/sender/report.go
@@ -36,8 +36,8 @@
 	w, _ := c.cfg.Snapshot()
 	exists := make(map[string]bool, len(w.Servers))
 	for _, s := range w.Servers {
-		exists[IncarnationID(s)] = true
-		st := c.servers[IncarnationID(s)]
+		exists[s.Incarnation()] = true
+		st := c.servers[s.Incarnation()]
 		if st == nil {
 			continue
 		}
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -35,6 +35,7 @@
 	ReasonNoOwner       = "no-owner"        // no usable server holds the key
 	ReasonKeyMoving     = "key-moving"      // the key did not reach its next owner in time
 	ReasonServerBusy    = "server-busy"     // the servers are full
+	ReasonServerLimit   = "server-limit"    // the servers get as many requests as they have named as their limit
 	ReasonConnectFailed = "server-connect"  // could not connect to the server
 	ReasonQuarantine    = "quarantine"      // the request has crashed servers
 	ReasonBadKey        = "bad-key"         // the pool is keyed, the key missing or invalid
@@ -80,6 +81,8 @@
 	RetryRatio, RetrySlack float64
 	// Limits is where the limits that servers name are recorded. It may be nil.
 	Limits *quota.Book
+	// AskPermit asks to send a request of a rank to a server's incarnation that has named a limit. It may be nil.
+	AskPermit func(now time.Time, incarnation string, rank int) quota.Decision
 	// OnStrike is called when a request seems to have crashed a server. It may be nil.
 	OnStrike func(fp crash.Fingerprint, s *topo.Server)
 	// OnAttempt is called after each attempt, for logs. It may be nil.
@@ -111,6 +114,7 @@
 // serverState is the state kept for one incarnation of a backend server.
 type serverState struct {
 	pick.ServerStats
+	denial
 	pool     *conns.Pool
 	addr     netip.AddrPort
 	lastUsed time.Time
@@ -275,21 +279,36 @@
 // isUrgent reports whether the request has the highest priority.
 func (x *Call) isUrgent() bool { return x.Route.Priority == 0 }
 
-// waitForServer returns the server for the next attempt. While the servers are full, it waits for up to maxRoomWait.
+// waitForServer returns the server for the next attempt. While the servers are full or at their limits, it waits for up to
+// maxRoomWait.
 func (c *Sender) waitForServer(now time.Time, x *Call) (*target, error) {
 	wait := maxRoomWait
 	if x.Route.Target > 0 {
 		wait = min(wait, x.Route.Target/roomWaitDivisor)
 	}
+	until := x.ReceivedAt.Add(wait)
 	for {
 		t, err := c.chooseServer(now, x)
-		if err != errServersFull { //nolint:errorlint // a sentinel of this package, never wrapped
-			return t, err
+		if err == nil && c.takePermit(now, x, t) {
+			return t, nil
 		}
-		if now.Sub(x.ReceivedAt) >= wait || x.CallerCtx.Err() != nil {
-			return nil, c.busyRefusal()
+		now = time.Now()
+		denied := new(deniedError)
+		retryAt := now
+		switch {
+		case err == nil: // this server is left out or waited for from now on
+		case err == errServersFull: //nolint:errorlint // a sentinel of this package, never wrapped
+			if retryAt = now.Add(roomPollInterval); !now.Before(until) || x.CallerCtx.Err() != nil {
+				return nil, c.busyRefusal()
+			}
+		case errors.As(err, &denied):
+			if retryAt = denied.until; retryAt.After(until) || x.CallerCtx.Err() != nil {
+				return nil, c.limitRefusal(now, denied)
+			}
+		default:
+			return nil, err
 		}
-		time.Sleep(roomPollInterval)
+		time.Sleep(retryAt.Sub(now))
 		now = time.Now()
 	}
 }
@@ -307,12 +326,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	candidates := make([]pick.Candidate, 0, len(servers))
+	var denied *deniedError // of the server that may be asked for again first
 	for _, s := range servers {
-		if !x.tried[s.Server] {
-			candidates = append(candidates, pick.Candidate{
-				ServerStats: &c.stateOf(now, s).ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
-			})
+		if x.tried[s.Server] {
+			continue
 		}
+		st := c.stateOf(now, s)
+		if e := st.deniedUntil(now, x.Route.Priority); e != nil {
+			if denied == nil || e.until.Before(denied.until) {
+				denied = e
+			}
+			continue
+		}
+		candidates = append(candidates, pick.Candidate{
+			ServerStats: &st.ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
+		})
 	}
 	choose := pick.Choose
 	if pick.MayDraw(candidates) {
@@ -322,6 +350,9 @@
 	if i < 0 && full {
 		return nil, errServersFull
 	}
+	if i < 0 && denied != nil {
+		return nil, denied
+	}
 	if i < 0 {
 		return nil, work.NewRefusal(ReasonNoServer, c.jitter(shortRetryAfter))
 	}
@@ -444,6 +475,9 @@
 	if !st.Ready(now) {
 		return nil, work.NewRefusal(ReasonNoOwner, c.jitter(ownerRetryAfter))
 	}
+	if e := st.deniedUntil(now, x.Route.Priority); e != nil {
+		return nil, e
+	}
 	if !st.HasRoom(now, x.isUrgent()) {
 		return nil, errServersFull
 	}
@@ -466,7 +500,7 @@
 
 // stateOf returns the state of a server and updates its share. c.mu is held.
 func (c *Sender) stateOf(now time.Time, s *topo.Server) *serverState {
-	id := IncarnationID(s)
+	id := s.Incarnation()
 	st := c.servers[id]
 	if st == nil || st.addr != s.Address {
 		st = &serverState{pool: conns.NewWith(s.Address, c.connShare(s), c.cfg.ConnOptions), addr: s.Address}
@@ -476,9 +510,6 @@
 	return st
 }
 
-// IncarnationID identifies one incarnation of a server.
-func IncarnationID(s *topo.Server) string { return s.Server + "/" + strconv.FormatInt(s.StartMs, 36) }
-
 // requestsPerSlot is how many requests a server takes for each slot: one runs and two wait, which at usual answer times
 // still meet their target latency.
 const requestsPerSlot = 3
@@ -519,7 +550,7 @@
 	now := time.Now()
 	if err == nil {
 		r = c.cfg.ReadReply(resp)
-		c.cfg.Limits.Observe(now, IncarnationID(t.Server), r.Limit, r.Signed && r.Refusal == NotRefused)
+		c.cfg.Limits.Observe(now, start, t.Server.Incarnation(), r.Limit, r.Signed && r.Refusal == NotRefused && r.Status < 500)
 	}
 	out, verdict := classify(ctx, x, r, sent, err)
 	if sent {
@@ -647,8 +678,11 @@
 	w, _ := c.cfg.Snapshot()
 	if p := w.Tables.Pool(x.poolName); p != nil && p.Keyed {
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		first.state.Start()
+		c.mu.Unlock()
+		if !c.takePermit(now, x, first) {
+			return nil, work.NewRefusal(ReasonServerLimit, shortRetryAfter)
+		}
 		return first, nil
 	}
 	x.tried[first.Server.Server] = true
--- a/internal/flow/sender/sender_test.go
+++ b/internal/flow/sender/sender_test.go
@@ -131,10 +131,15 @@
 }
 
 func newSender(t *testing.T, w *topo.Snapshot) *testSender {
+	t.Helper()
+	return newSenderWith(t, w, func(*sender.Config) {})
+}
+
+func newSenderWith(t *testing.T, w *topo.Snapshot, change func(*sender.Config)) *testSender {
 	t.Helper()
 	s := new(testSender)
 	s.setSnapshot(w)
-	s.Sender = sender.New("i1", sender.Config{
+	cfg := sender.Config{
 		Location: topo.Location{DC: "a"}, Snapshot: s.current, InstanceCount: func() int { return 1 }, ConnOptions: conns.Options{AcceptUnframed: true, MaxForeign: 1},
 		RetryRatio: 0.2, RetrySlack: 20,
 		WriteRequest: func(h *fasthttp.Request, r *work.Request, _ string, _ time.Duration) {
@@ -151,7 +156,9 @@
 			}
 			return r
 		},
-	})
+	}
+	change(&cfg)
+	s.Sender = sender.New("i1", cfg)
 	t.Cleanup(s.Close)
 	return s
 }
--- a/internal/oper/site/report.go
+++ b/internal/oper/site/report.go
@@ -5,9 +5,13 @@
 
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
+	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
+// limitReportTime is how long an observed limit is part of the answers to the leader: of some, as one may be lost.
+const limitReportTime = 2 * time.Second
+
 // fillReport adds this instance's key loads, server latencies and strikes to an answer to the leader.
 func (s *Instance) fillReport(now time.Time, r *sitepb.PushReply) {
 	report := s.sender.TakeReport(now)
@@ -20,6 +24,7 @@
 		})
 	}
 	r.Strikes = append(r.Strikes, encodeStrikes(report.Strikes)...)
+	r.Limits = permit.EncodeLimits(now, s.limits.Observed(now.Add(-limitReportTime)))
 }
 
 // recentStrikes returns the recent strikes known to this instance.
@@ -60,3 +65,15 @@
 func (s *Instance) logLimit(incarnation string, l quota.Limit) {
 	s.log.Info("server-limit", "server", incarnation, "rate", l.Rate, "ended", l.Ended)
 }
+
+// countPermit counts a decision on a request to a server with a limit.
+func (s *Instance) countPermit(d quota.Decision, byLeader bool) {
+	outcome, source := "refused", "share"
+	if d.OK {
+		outcome = "granted"
+	}
+	if byLeader {
+		source = "leader"
+	}
+	s.meter.Counter("permits_total", map[string]string{"outcome": outcome, "source": source}).Inc(1)
+}
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -21,6 +21,7 @@
 	"github.com/bramleycove/bramleycove/internal/oper/clock"
 	"github.com/bramleycove/bramleycove/internal/oper/events"
 	"github.com/bramleycove/bramleycove/internal/oper/meter"
+	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/coord"
@@ -70,6 +71,7 @@
 	frontend *entry.Frontend
 	coord    *coord.Coordinator
 	limits   *quota.Book // that servers have named
+	permits  *permit.Asker
 	stopping atomic.Bool
 	// startedAt is when New was called.
 	startedAt time.Time
@@ -89,12 +91,16 @@
 			return topic == keyed.Servers && cfg.IsSameServer(old, value)
 		},
 		Decoder: cfg.Decoder, Grant: cfg.Grant, Release: cfg.Release,
-		FillReport: s.fillReport, RecentStrikes: s.recentStrikes, LearnStrikes: s.learnStrikes, LearnLatencies: s.learnLatencies, Events: cfg.Logger,
+		FillReport: s.fillReport, RecentStrikes: s.recentStrikes, LearnStrikes: s.learnStrikes, LearnLatencies: s.learnLatencies, Limits: s.limits, Events: cfg.Logger,
 	})
+	s.permits = &permit.Asker{
+		Limits: s.limits, InstanceCount: s.coord.InstanceCount, Call: s.coord.AskPermits, OnDecision: s.countPermit,
+		Background: func(part func()) { go s.log.Guard(part) },
+	}
 	s.sender = sender.New(cfg.Instance, sender.Config{
 		Location: cfg.Location, Snapshot: s.coord.Snapshot, InstanceCount: s.coord.InstanceCount,
 		WriteRequest: cfg.WriteRequest, ReadReply: cfg.ReadAnswer, ConnOptions: cfg.ServerConnOptions,
-		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, Limits: s.limits, OnAttempt: s.recordAttempt,
+		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, Limits: s.limits, AskPermit: s.permits.Ask, OnAttempt: s.recordAttempt,
 		OnStrike: func(fp crash.Fingerprint, srv *topo.Server) {
 			s.log.Warn("strike", "print", hex.EncodeToString(fp[:]), "server", srv.Server)
 		},
--- a/internal/peer/push/client.go
+++ b/internal/peer/push/client.go
@@ -55,10 +55,16 @@
 	return r.GetFrom(), r.GetPeers(), err
 }
 
-// Handlers answers calls from other instances. Both fields must be set.
+// Permit asks the leader at addr for permits.
+func (c *Client) Permit(ctx context.Context, addr string, r *sitepb.PermitRequest) (*sitepb.PermitReply, error) {
+	return c.siteAt(addr).Permit(ctx, r)
+}
+
+// Handlers answers calls from other instances. All fields must be set.
 type Handlers struct {
-	OnPush func(*sitepb.PushRequest) *sitepb.PushReply
-	OnPull func(*sitepb.PullRequest) *sitepb.PushRequest
+	OnPush   func(*sitepb.PushRequest) *sitepb.PushReply
+	OnPull   func(*sitepb.PullRequest) *sitepb.PushRequest
+	OnPermit func(*sitepb.PermitRequest) *sitepb.PermitReply
 }
 
 // Handler returns the HTTP handler for the peer listener.
@@ -75,3 +81,8 @@
 func (h *Handlers) Pull(_ context.Context, r *sitepb.PullRequest) (*sitepb.PushRequest, error) {
 	return h.OnPull(r), nil
 }
+
+// Permit implements sitepb.Site.
+func (h *Handlers) Permit(_ context.Context, r *sitepb.PermitRequest) (*sitepb.PermitReply, error) {
+	return h.OnPermit(r), nil
+}
--- a/internal/peer/push/push.go
+++ b/internal/peer/push/push.go
@@ -186,6 +186,7 @@
 		req := &sitepb.PushRequest{
 			From: base.From, Term: base.Term, LeadOffset: base.LeadOffset, UnconfirmedMs: base.UnconfirmedMs, Number: base.Number,
 			Moving: base.Moving, Strikes: base.Strikes, Serves: servedBy[addr], Latencies: base.Latencies,
+			Limits: base.Limits,
 		}
 		if req.Number == 0 {
 			p.lastNumber++
--- a/internal/peer/push/relay.go
+++ b/internal/peer/push/relay.go
@@ -107,6 +107,9 @@
 	for _, s := range r.lastPush.GetStrikes() {
 		out.Strikes = append(out.Strikes, &sitepb.Strike{Print: s.GetPrint(), Server: s.GetServer(), AgeMs: s.GetAgeMs() + age})
 	}
+	for _, l := range r.lastPush.GetLimits() {
+		out.Limits = append(out.Limits, &sitepb.Limit{Server: l.GetServer(), Rate: l.GetRate(), Ended: l.GetEnded(), AgeMs: l.GetAgeMs() + age})
+	}
 	for _, m := range r.lastPush.GetMoving() {
 		out.Moving = append(out.Moving, &sitepb.Range{
 			Pool: m.GetPool(), First: m.GetFirst(), Last: m.GetLast(), WaitMs: max(0, m.GetWaitMs()-age),
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/oper/events"
 	"github.com/bramleycove/bramleycove/internal/peer/join"
 	"github.com/bramleycove/bramleycove/internal/peer/mirror"
@@ -54,7 +55,9 @@
 	LearnStrikes  func(now time.Time, strikes []*sitepb.Strike)
 	// LearnLatencies takes the mean answer times of servers to all instances.
 	LearnLatencies func(now time.Time, latencies []*sitepb.Latency)
-	Events         *events.Logger
+	// Limits holds the limits that servers have named.
+	Limits *quota.Book
+	Events *events.Logger
 }
 
 // Coordinator is one instance's part in the coordination. Its methods may be called by many goroutines.
@@ -156,7 +159,7 @@
 
 // Handlers returns the handlers for calls by other instances.
 func (c *Coordinator) Handlers() *push.Handlers {
-	return &push.Handlers{OnPush: c.handlePush, OnPull: c.handlePull}
+	return &push.Handlers{OnPush: c.handlePush, OnPull: c.handlePull, OnPermit: c.handlePermits}
 }
 
 // Run takes part in the coordination until ctx ends.
--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/peer/stream"
 	"github.com/bramleycove/bramleycove/internal/place/build"
@@ -29,7 +30,7 @@
 		Self: netip.MustParseAddrPort("127.0.0.1:1"), Seeds: func() []netip.AddrPort { return nil }, Now: time.Now,
 		SameValue:    func(keyed.Topic, []byte, []byte) bool { return false },
 		FillReport:   func(time.Time, *sitepb.PushReply) {},
-		LearnStrikes: func(time.Time, []*sitepb.Strike) {}, LearnLatencies: func(time.Time, []*sitepb.Latency) {},
+		LearnStrikes: func(time.Time, []*sitepb.Strike) {}, LearnLatencies: func(time.Time, []*sitepb.Latency) {}, Limits: new(quota.Book),
 	})
 	if r := c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:2", Term: 3}); r.GetStale() || r.GetStartTerm() < 3 {
 		t.Errorf("stale %v, start term %d; want not stale, term 3 or higher", r.GetStale(), r.GetStartTerm())
@@ -368,7 +369,7 @@
 		SameValue:     func(keyed.Topic, []byte, []byte) bool { return false },
 		FillReport:    func(time.Time, *sitepb.PushReply) {},
 		RecentStrikes: func(time.Time) []*sitepb.Strike { return nil },
-		LearnStrikes:  func(time.Time, []*sitepb.Strike) {}, LearnLatencies: func(time.Time, []*sitepb.Latency) {},
+		LearnStrikes:  func(time.Time, []*sitepb.Strike) {}, LearnLatencies: func(time.Time, []*sitepb.Latency) {}, Limits: new(quota.Book),
 	})
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/build"
@@ -90,8 +91,10 @@
 	c.leader = &leaderState{
 		earlierRecord: earlier, earlierRenewedAt: renewed, quorum: elect.NewQuorum(nil), successionQuorum: elect.NewQuorum(earlier.Members),
 		startedAt: now, keepers: make(map[string]*assign.Assigner), gathers: make(map[string]*assign.InitialDelay), gauge: load.New(),
+		permits:  quota.NewArbiter(c.cfg.Limits),
 		maxFence: c.builder.HighestFence,
 	}
+	c.leader.gauge.NamedRate = c.namedRate
 	c.leader.successionQuorum.AddAck(c.leadership.Self, now, c.member.followedAt)
 	for pool, m := range c.builder.Owners {
 		c.leader.keepers[pool] = assign.New(m, &c.leader.maxFence, now, inheritedUntil)
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
 	"github.com/bramleycove/bramleycove/internal/peer/stream"
@@ -168,6 +169,7 @@
 	c.mu.Unlock()
 	c.applyStreams(r)
 	c.cfg.LearnStrikes(time.Now(), r.GetStrikes())
+	permit.MergeLimits(time.Now(), c.cfg.Limits, r.GetLimits())
 	if len(r.GetLatencies()) > 0 && !stale {
 		c.cfg.LearnLatencies(time.Now(), r.GetLatencies())
 	}
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
+	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
@@ -49,6 +51,7 @@
 	keepers          map[string]*assign.Assigner
 	gathers          map[string]*assign.InitialDelay // keyed pools that had no owners yet
 	gauge            *load.Estimator
+	permits          *quota.Arbiter
 	reach            assign.Reachability
 	plannedAt        time.Time
 	newsNumber       uint64           // rises when members must be told at once
@@ -80,6 +83,7 @@
 		c.cfg.FillReport(time.Now(), reply)
 		l.gauge.AddReport(reply)
 		l.gauge.EndInterval()
+		l.permits.Prune()
 		if c.mayAct(now) {
 			c.planMoves(now)
 		}
@@ -277,7 +281,7 @@
 	if c.leader.resigning {
 		r.UnconfirmedMs = resigningLeaseAge.Milliseconds()
 	}
-	r.Strikes = c.cfg.RecentStrikes(time.Now())
+	r.Strikes, r.Limits = c.cfg.RecentStrikes(time.Now()), c.currentLimits(time.Now())
 	if len(c.leader.peers) >= minShareLatencies && now.Sub(c.leader.latenciesAt) < push.Interval {
 		r.Latencies = c.leader.latencies
 	}
@@ -303,6 +307,7 @@
 // handleReply takes a member's reply to a push whose exchange began at start.
 func (c *Coordinator) handleReply(start time.Time, addr string, r *sitepb.PushReply) {
 	c.cfg.LearnStrikes(time.Now(), r.GetStrikes())
+	permit.MergeLimits(time.Now(), c.cfg.Limits, r.GetLimits())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch now := c.cfg.Now(); {
--- a/internal/place/load/load.go
+++ b/internal/place/load/load.go
@@ -31,10 +31,15 @@
 	defaultAnswerTime = 150 * time.Millisecond
 	// minCapacityFactor and maxCapacityFactor bound the estimate for a server, as multiples of the average for its slots.
 	minCapacityFactor, maxCapacityFactor = 0.25, 3
+	// minNamedCapacity is the capacity, in requests per second, of a server that has named a lower limit.
+	minNamedCapacity = 0.1
 )
 
 // Estimator estimates loads and capacities. It is not safe for concurrent use.
 type Estimator struct {
+	// NamedRate returns the limit that a server has named, in requests per second. It may be nil.
+	NamedRate func(*topo.Server) (rate float64, ok bool)
+
 	loads     map[string]*shift.Loads   // by pool
 	counts    map[string]map[uint16]int // of the current interval, by pool and key
 	servers   map[string]*serverStats
@@ -156,6 +161,11 @@
 		if measured := e.servers[s.Server].capacity(s.Slots); measured > 0 {
 			c = min(max(measured, c*minCapacityFactor), c*maxCapacityFactor)
 		}
+		if e.NamedRate != nil {
+			if rate, ok := e.NamedRate(s); ok {
+				c = min(c, max(rate, minNamedCapacity))
+			}
+		}
 		out = append(out, shift.Server{Owner: s.Owner, Capacity: c, AcceptsKeys: acceptsKeys(s)})
 	}
 	return out
--- a/internal/place/spans/spans.go
+++ b/internal/place/spans/spans.go
@@ -1,7 +1,10 @@
 // Package spans maps the keys 0 to 65535 of a pool to their owners, by ranges. It does no I/O.
 package spans
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // Last is the highest key.
 const Last = 65535
@@ -13,6 +16,9 @@
 	StartMs int64
 }
 
+// Incarnation returns a name of the incarnation.
+func (o Owner) Incarnation() string { return o.Server + "/" + strconv.FormatInt(o.StartMs, 36) }
+
 // Span is a range of keys, First and Last included, with one owner. Fence is the fencing token of its grants. Handover is
 // the token, if any, for taking over the state of the previous owner.
 type Span struct {
