Keep to the limits that servers name on our own interface

All requests to a server pass through one dispatcher, so that the bucket is there. A server at its limit is held back, the queue counts the limit when it expects the time of an answer, and what can't be answered in time is refused at once. Fallbacks, beside which other instances send, use shares.

--- a/internal/flow/lanes/job.go
+++ b/internal/flow/lanes/job.go
@@ -65,7 +65,7 @@
 	if j.runsAlone && out == limit.Done {
 		ln.dispatcher.cfg.AloneSucceeded(now, j.req.Fingerprint)
 	}
-	ln.finish(now, j, b, out, hold, reply.Leaving)
+	ln.finish(now, j, b, out, hold, reply)
 	return reply.Answer, err
 }
 
--- a/internal/flow/lanes/lane.go
+++ b/internal/flow/lanes/lane.go
@@ -13,6 +13,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/plat/server"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 )
 
@@ -253,7 +254,7 @@
 		if b.limiter.Frozen() {
 			frozen++
 		}
-		if w := b.limiter.HeldUntil(now).Sub(now); usable == 1 || w < wait {
+		if w := max(b.limiter.HeldUntil(now).Sub(now), ln.quotaWait(now, b)); usable == 1 || w < wait {
 			wait = w
 		}
 	}
@@ -317,6 +318,7 @@
 func (ln *lane) startWaiting(now time.Time) {
 	ln.refuseWithoutServer(now)
 	ln.queue.SetCapacity(ln.capacity(now))
+	ln.queue.SetMaxRate(ln.totalRate(now))
 	for started := true; started; {
 		started = ln.startAlone(now) || ln.startNext(now)
 	}
@@ -367,13 +369,14 @@
 	ln.updateLoad(now)
 	j.startedAt, j.revision = now, ln.def.GetRevision()
 	b.limiter.Start()
+	ln.takeQuota(now, b)
 	ln.running[j] = struct{}{}
 	j.outcomes <- outcome{server: b}
 	return true
 }
 
 // finish records how a job ended, and starts waiting jobs.
-func (ln *lane) finish(now time.Time, j *job, b *backend, out limit.Outcome, hold time.Duration, leaving bool) {
+func (ln *lane) finish(now time.Time, j *job, b *backend, out limit.Outcome, hold time.Duration, reply server.Reply) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.updateLoad(now)
@@ -383,7 +386,8 @@
 	if b.aloneJob == j {
 		b.aloneJob = nil
 	}
-	if leaving {
+	b.quota.observe(now, j.startedAt, reply.Limit, out == limit.Done && reply.Status < 500)
+	if reply.Leaving {
 		b.selfLeavingUntil = now.Add(selfLeavingTime)
 	}
 	if out == limit.Done {
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -46,6 +46,8 @@
 	ServerLost func(now time.Time, server string, fingerprint [16]byte)
 	// AloneSucceeded records that a request that ran alone was answered.
 	AloneSucceeded func(now time.Time, fingerprint [16]byte)
+	// Instances returns the number of instances, each of which may serve an unkeyed lane as a fallback.
+	Instances func() int
 	// NotifyReleasable is called when TakeReleased has something to return, with locks held: it must not block.
 	NotifyReleasable func()
 	// DialAddress returns the address to dial for a server. nil means the server's own address.
@@ -82,6 +84,9 @@
 	if cfg.ServerLeaving == nil {
 		cfg.ServerLeaving = func(string) bool { return false }
 	}
+	if cfg.Instances == nil {
+		cfg.Instances = func() int { return 1 }
+	}
 	if cfg.Admit == nil {
 		cfg.Admit = func(time.Time, [16]byte) (bool, time.Duration) { return false, 0 }
 	}
--- a/internal/flow/lanes/server.go
+++ b/internal/flow/lanes/server.go
@@ -31,6 +31,7 @@
 	reserved             bool      // takes no more work until it is idle, for such a job
 	client               *server.Client
 	limiter              *limit.Limiter
+	quota                serverQuota
 	loadSeconds          float64 // running and queued requests, integrated over time
 }
 
@@ -65,7 +66,7 @@
 func (ln *lane) leastLoaded(now time.Time) *backend {
 	var best *backend
 	for _, b := range ln.servers {
-		if b.aloneJob != nil || b.reserved || b.isLeaving(now) || !b.limiter.Ready(now) {
+		if b.aloneJob != nil || b.reserved || b.isLeaving(now) || !b.limiter.Ready(now) || ln.quotaWait(now, b) > 0 {
 			continue
 		}
 		if best == nil || b.limiter.Running()*best.slots < best.limiter.Running()*b.slots {
@@ -87,7 +88,7 @@
 	j := ln.aloneQueue[0]
 	var best *backend
 	for _, b := range ln.servers {
-		if b.isLeaving(now) || now.Before(b.limiter.HeldUntil(now)) {
+		if b.isLeaving(now) || now.Before(b.limiter.HeldUntil(now)) || ln.quotaWait(now, b) > 0 {
 			continue
 		}
 		if best == nil || b.limiter.Running() < best.limiter.Running() {
@@ -128,6 +129,9 @@
 	var next time.Time
 	for _, b := range ln.servers {
 		t := b.limiter.HeldUntil(now)
+		if end := now.Add(ln.quotaWait(now, b)); end.After(now) && end.After(t) {
+			t = end
+		}
 		if b.selfLeavingUntil.After(now) && b.selfLeavingUntil.After(t) {
 			t = b.selfLeavingUntil
 		}
--- a/internal/flow/ranks/ranks.go
+++ b/internal/flow/ranks/ranks.go
@@ -39,6 +39,7 @@
 type Queue[T any] struct {
 	queues   []rankQueue[T]
 	capacity int // concurrency slots of all servers that can be used now
+	maxRate  float64
 }
 
 // rankQueue is the queue of one rank.
@@ -108,6 +109,9 @@
 // SetCapacity sets how many requests the servers can run at the same time.
 func (q *Queue[T]) SetCapacity(n int) { q.capacity = max(1, n) }
 
+// SetMaxRate sets how many requests per second the servers take, 0 if that is not limited.
+func (q *Queue[T]) SetMaxRate(perSecond float64) { q.maxRate = perSecond }
+
 // Len returns the number of waiting entries of a rank.
 func (q *Queue[T]) Len(rank int) int { return q.queues[rank].numWaiting }
 
@@ -162,7 +166,19 @@
 	}
 	// The measured gap may date from when no server answered. Working servers give a rank at least its share.
 	gap = min(max(gap, perService), perService/max(c.Share, minShare))
-	return time.Duration((float64(c.numWaiting)*gap + c.meanService) * float64(time.Second))
+	wait := float64(c.numWaiting) * gap
+	if q.maxRate > 0 {
+		wait = max(wait, float64(q.waitingBefore(rank)+1)/q.maxRate)
+	}
+	return time.Duration((wait + c.meanService) * float64(time.Second))
+}
+
+// waitingBefore returns the number of waiting entries of a rank and the more urgent ones.
+func (q *Queue[T]) waitingBefore(rank int) (n int) {
+	for i := range rank + 1 {
+		n += q.queues[i].numWaiting
+	}
+	return n
 }
 
 // expectedShare returns the part of the service time that a rank can expect now: its own share and those of ranks that
--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -59,7 +59,7 @@
 // protocolHeaders holds the headers of the server protocol, which callers must not set.
 var protocolHeaders = map[string]bool{
 	"pool": true, "slot": true, "token": true, "timeout": true, "identity": true, "rank": true, "request-id": true,
-	"verdict": true, "leaving": true,
+	"verdict": true, "leaving": true, "limit": true,
 }
 
 // connectionHeaders holds headers that apply to one connection only or that the HTTP library writes by itself.
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -242,6 +242,7 @@
 	return lanes.Config{
 		Ranks: d.ranks, Servers: d.view.LaneServers, ServerLeaving: d.serverLeaving,
 		Admit: d.crashes.admit, ServerLost: d.crashes.recordLoss, AloneSucceeded: d.crashes.recordSuccess,
+		Instances:        func() int { return len(d.otherInstances()) + 1 },
 		NotifyReleasable: func() { d.member.HeartbeatNow() }, DialAddress: d.dialAddr, Seed: seedFromID(d.id),
 	}
 }
--- a/internal/plat/server/send.go
+++ b/internal/plat/server/send.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
@@ -41,6 +42,8 @@
 type Reply struct {
 	work.Answer
 	Leaving bool
+	// Limit is the rate of requests that the server takes from all instances together, if it names one.
+	Limit quota.Named
 }
 
 // New returns a client of the server at addr that opens at most limit connections.
@@ -49,7 +52,7 @@
 }
 
 // Send sends req once and returns the complete answer. Errors are *result.Error and tell whether the request may have run.
-// sendBefore, if not zero, is when the permission to send ends. Leaving is valid for refusals as well.
+// sendBefore, if not zero, is when the permission to send ends. Leaving and Limit are valid for refusals as well.
 func (c *Client) Send(ctx context.Context, req *work.Request, sendBefore time.Time) (Reply, error) {
 	h, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(h)
@@ -107,7 +110,7 @@
 
 // parseReply returns the answer, or an error for a refusal. The pool has checked length and id.
 func parseReply(resp *fasthttp.Response) (Reply, error) {
-	r := Reply{Leaving: strings.EqualFold(string(resp.Header.Peek("Leaving")), "true")}
+	r := Reply{Leaving: strings.EqualFold(string(resp.Header.Peek("Leaving")), "true"), Limit: quota.ParseNamed(resp.Header.Peek("Limit"))}
 	if string(resp.Header.Peek("Verdict")) == result.NotRun.String() {
 		e := work.NewRefusal(ReasonRefused, parseSeconds(resp.Header.Peek("Retry-After")))
 		e.Cause = errors.Newf("server answered %d", resp.StatusCode())
