--- a/internal/place/load/load.go
+++ b/internal/place/load/load.go
@@ -31,6 +31,9 @@
 	defaultAnswerTime = 150 * time.Millisecond
 	// minCapacityFactor and maxCapacityFactor bound the estimate for a server, as multiples of the average for its slots.
 	minCapacityFactor, maxCapacityFactor = 0.25, 3
+	// namedCapacityPart is the part of a named limit that counts as capacity: requests come unevenly, and those over the limit
+	// are refused.
+	namedCapacityPart = 0.5
 	// minNamedCapacity is the capacity, in requests per second, of a server that has named a lower limit.
 	minNamedCapacity = 0.1
 )
@@ -163,7 +166,7 @@
 		}
 		if e.NamedRate != nil {
 			if rate, ok := e.NamedRate(s); ok {
-				c = min(c, max(rate, minNamedCapacity))
+				c = min(c, max(namedCapacityPart*rate, minNamedCapacity))
 			}
 		}
 		out = append(out, shift.Server{Owner: s.Owner, Capacity: c, AcceptsKeys: acceptsKeys(s)})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -44,9 +44,11 @@
 	mu   sync.Mutex
 	rng  *rand.Rand
 	busy map[string]bool // what a fault is acting on
-	log  []string
-	wg   sync.WaitGroup
-	end  chan struct{}
+
+	disturbed map[string][]*disturbance // by instance
+	log       []string
+	wg        sync.WaitGroup
+	end       chan struct{}
 }
 
 func (s *soak) note(format string, args ...any) {
@@ -100,16 +102,19 @@
 	switch kind := s.intn(5); kind {
 	case 0, 1:
 		s.note("kill %s", in.Name)
+		defer s.disturb(in.Name)()
 		in.Stopped.Store(true)
 		_ = in.Signal(syscall.SIGKILL) // it may have ended already
 		s.restart(in)
 	case 2:
 		s.note("pause %s", in.Name)
+		defer s.disturb(in.Name)()
 		_ = in.Signal(syscall.SIGSTOP)
 		s.pause(s.span(200*time.Millisecond, 5*time.Second))
 		_ = in.Signal(syscall.SIGCONT)
 	case 3:
 		s.note("stop %s", in.Name)
+		defer s.disturb(in.Name)()
 		_ = in.Signal(syscall.SIGTERM)
 		// Callers go on using it until it is gone.
 		if _, err := in.Wait(7 * time.Second); err != nil {
@@ -146,6 +151,7 @@
 	}
 	defer s.free(leader.Name)
 	s.note("kill %s, which leads", leader.Name)
+	defer s.disturb(leader.Name)()
 	_ = leader.Signal(syscall.SIGKILL) // it may have ended already
 	s.restart(leader)
 }
@@ -316,6 +322,7 @@
 	}
 	s := &soak{
 		Fleet: f, t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), busy: make(map[string]bool), end: make(chan struct{}),
+		disturbed: make(map[string][]*disturbance),
 	}
 	c := f.NewClient()
 	if !platf.Await(20*time.Second, func() bool { return c.Do(f.Instances[0], "/read/x", 7, time.Second).Status == 200 }) {
@@ -337,6 +344,8 @@
 			}
 		}()
 	}
+	s.wg.Add(1)
+	go s.nameLimits()
 	time.Sleep(faultTime)
 	close(s.end)
 	s.wg.Wait()
