--- a/test/stands/store.go
+++ b/test/stands/store.go
@@ -37,7 +37,10 @@
 func (quiet) Printf(string, ...any) {}
 
 // record is one record of a keyed partition.
-type record struct{ key, value string }
+type record struct {
+	key, value string
+	at         time.Time
+}
 
 // Store is a stand-in of the metadata store. Its methods may be called by many goroutines.
 type Store struct {
@@ -52,6 +55,7 @@
 	first  map[string]uint64 // oldest retained record of each topic
 	grown  chan struct{}
 	calls  int
+	era    int // number of restorations
 }
 
 // NewStore starts a store on loopback.
@@ -93,10 +97,46 @@
 	if s.mode == Busy || s.mode == Silent {
 		return false
 	}
-	s.add(topic, []record{{key, value}})
+	s.add(topic, []record{{key: key, value: value}})
 	return true
 }
 
+// Restore replaces all records by a copy of some time ago. Offsets go back and are given out again. The newest lost records of
+// the operator and the backend servers are written again after a delay.
+func (s *Store) Restore(ago, rewriteDelay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	lost := make(map[string][]record)
+	for topic, rs := range s.topics {
+		n := len(rs)
+		for n > 0 && time.Since(rs[n-1].at) < ago {
+			n--
+		}
+		if topic != "keyed.place" {
+			lost[topic] = rs[n:]
+		}
+		s.topics[topic], s.first[topic] = append([]record(nil), rs[:n]...), min(s.first[topic], uint64(n))
+	}
+	close(s.grown)
+	s.grown = make(chan struct{})
+	time.AfterFunc(rewriteDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for topic, rs := range lost {
+			last := make(map[string]int)
+			for i, r := range rs {
+				last[r.key] = i
+			}
+			for i, r := range rs {
+				if last[r.key] == i {
+					s.add(topic, []record{r})
+				}
+			}
+		}
+	})
+}
+
 // Forget deletes all records but the newest of each key.
 func (s *Store) Forget(topic string) {
 	s.mu.Lock()
@@ -105,6 +145,9 @@
 }
 
 func (s *Store) add(topic string, rs []record) {
+	for i := range rs {
+		rs[i].at = time.Now()
+	}
 	s.topics[topic] = append(s.topics[topic], rs...)
 	close(s.grown)
 	s.grown = make(chan struct{})
@@ -115,6 +158,11 @@
 	s.calls++
 	mode, unlucky := s.mode, s.rng.IntN(3) == 0
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		h.Response.Header.Set("Store-Era", strconv.Itoa(s.era))
+	}()
 	switch mode {
 	case Busy:
 		h.SetStatusCode(503)
@@ -172,7 +220,7 @@
 	for len(body) > 0 {
 		n := binary.BigEndian.Uint32(body)
 		rec := body[4 : 4+n]
-		rs = append(rs, record{string(rec[1 : 1+rec[0]]), string(rec[1+rec[0]:])})
+		rs = append(rs, record{key: string(rec[1 : 1+rec[0]]), value: string(rec[1+rec[0]:])})
 		body = body[4+n:]
 	}
 	s.mu.Lock()
@@ -193,9 +241,10 @@
 	until := time.Now().Add(time.Duration(h.QueryArgs().GetUintOrZero("wait-ms")) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		rs, first, grown := s.topics[topic], s.first[topic], s.grown
+		rs, first, grown, era := s.topics[topic], s.first[topic], s.grown, s.era
 		s.mu.Unlock()
-		if from < first {
+		h.Response.Header.Set("Store-Era", strconv.Itoa(era))
+		if from < first || from > uint64(len(rs)) && era > 0 {
 			answer(h, reply{410, map[string]any{"first": first}})
 			return
 		}
