Order what the store says by its era

Offsets are now positions with the era of the store in the upper bits, so that none goes back. What a restored store has of a key is taken only if it is newer by its own count (version of the tables, seq of a registration, term, fence); servers that do not register again within 2.3 s are gone. The leader records lead and owners again. Terms and fences of an era begin above all earlier ones, and a leader that finds owners which nobody has recorded in this era waits until earlier grants have ended. A wait for tables that began before is given up.

--- a/internal/peer/join/join.go
+++ b/internal/peer/join/join.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"time"
 
@@ -85,10 +84,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reads.CallTimeout)
 	defer cancel()
 	var batch keyed.Batch
-	// No record has this offset, so the answer only gives the end of the stream.
-	end, err := j.Log.Read(ctx, keyed.Place, math.MaxInt64, 0)
-	if err == nil && end.End > 0 {
-		batch, err = j.Log.Read(ctx, keyed.Place, end.End-1, 0)
+	end, err := j.Log.End(ctx, keyed.Place)
+	if err == nil && keyed.Offset(end) > 0 {
+		batch, err = j.Log.Read(ctx, keyed.Place, end-1, 0)
 	}
 	if err != nil {
 		j.Events.Info("lead-unread", "error", err)
--- a/internal/peer/mirror/hold.go
+++ b/internal/peer/mirror/hold.go
@@ -13,8 +13,8 @@
 	// maxFailureAge is how old the latest failure of an outage may be. An instance that needs the store reads it more often;
 	// another can't tell whether the outage lasted.
 	maxFailureAge = 2 * time.Second
-	// reregisterTime is how long live servers may take to register again; the platform specifies about two seconds.
-	reregisterTime = 2300 * time.Millisecond
+	// ReregisterTime is how long live servers may take to register again; the platform specifies about two seconds.
+	ReregisterTime = 2300 * time.Millisecond
 )
 
 // RemovalHold delays the removal of entries that may have lapsed only because the store was unavailable. It is not safe
@@ -36,11 +36,14 @@
 // NoteSuccess records that the store was read at now.
 func (g *RemovalHold) NoteSuccess(now time.Time) {
 	if !g.firstFailure.IsZero() && now.Sub(g.firstFailure) > minOutage && now.Sub(g.lastFailure) <= maxFailureAge {
-		g.holdUntil = now.Add(reregisterTime)
+		g.holdUntil = now.Add(ReregisterTime)
 	}
 	g.firstFailure = time.Time{}
 }
 
+// NoteRestored records that the store came back at now from an older copy, which may lack live servers.
+func (g *RemovalHold) NoteRestored(now time.Time) { g.holdUntil = now.Add(ReregisterTime) }
+
 // Filter records a successful read at now and returns what of it to apply. While removals are delayed, they are left out
 // and the batch ends at the first, so that the next read returns it again.
 func (g *RemovalHold) Filter(now time.Time, b keyed.Batch) keyed.Batch {
--- /dev/null
+++ b/internal/peer/mirror/restored_test.go
@@ -0,0 +1,76 @@
+package mirror_test
+
+import (
+	"testing"
+
+	"github.com/bramleycove/bramleycove/internal/peer/mirror"
+	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+)
+
+// newRestorable returns a copy whose values are compared as text. Only servers may be missing in a restored store.
+func newRestorable() *mirror.Streams {
+	return &mirror.Streams{IsStale: func(topic keyed.Topic, _ string, known, value []byte) bool {
+		if len(value) == 0 {
+			return topic != keyed.Servers
+		}
+		return string(value) <= string(known)
+	}}
+}
+
+func restored(offset uint64) uint64 { return keyed.Position(1, offset) }
+
+// Guards against older values of a restored store that replace newer ones, and newer values of it that are ignored.
+func TestRestored(t *testing.T) {
+	b := newRestorable()
+	put := func(topic keyed.Topic, key, value string, offset uint64) {
+		b.Apply(topic, keyed.Batch{Entries: []keyed.Entry{entry(key, offset, value)}, End: offset + 1}, false)
+	}
+	put(keyed.Config, "config", "v5", 9)
+	put(keyed.Place, "lead", "t3", 50)
+	put(keyed.Servers, "left", "s8", 70)
+	put(keyed.Servers, "left", "", 71)
+	put(keyed.Servers, "lives", "s8", 72)
+	put(keyed.Servers, "dead", "s8", 73)
+	b.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", restored(2), "v4")}, End: restored(3)}, true)
+	b.Apply(keyed.Place, keyed.Batch{End: restored(4)}, true)
+	b.Apply(keyed.Servers, keyed.Batch{Entries: []keyed.Entry{entry("left", restored(5), "s6"), entry("lives", restored(6), "s7")}, End: restored(7)}, false)
+	for _, c := range []struct {
+		topic     keyed.Topic
+		key, want string
+	}{{keyed.Config, "config", "v5"}, {keyed.Place, "lead", "t3"}, {keyed.Servers, "left", ""}, {keyed.Servers, "lives", "s8"}, {keyed.Servers, "dead", "s8"}} {
+		if got := b.Get(c.topic, c.key); string(got.Value) != c.want {
+			t.Errorf("%s is %q after the restoration, want %q", c.key, got.Value, c.want)
+		}
+	}
+	b.DropEarlierEras(keyed.Servers)
+	if got := b.Get(keyed.Servers, "dead"); len(got.Value) > 0 {
+		t.Error("a server that has not registered again is kept")
+	}
+	if got := b.Get(keyed.Servers, "lives"); string(got.Value) != "s8" {
+		t.Error("a server that the restored store has is dropped")
+	}
+	put(keyed.Config, "config", "v6", restored(3))
+	if got := b.Get(keyed.Config, "config"); string(got.Value) != "v6" {
+		t.Errorf("tables are %q, want the next ones", got.Value)
+	}
+}
+
+// Guards against an instance that started after the restoration and keeps what it read there, though others know more.
+func TestRestoredReader(t *testing.T) {
+	leader, started := newRestorable(), newRestorable()
+	leader.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", 9, "v5")}, End: 10}, true)
+	for _, b := range []*mirror.Streams{leader, started} {
+		b.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", restored(2), "v4")}, End: restored(3)}, true)
+	}
+	end, _ := started.End(keyed.Config)
+	batch, _ := leader.EntriesFrom(keyed.Config, end)
+	started.Apply(keyed.Config, batch, false)
+	if got := started.Get(keyed.Config, "config"); string(got.Value) != "v5" {
+		t.Errorf("tables are %q, want those that the leader kept", got.Value)
+	}
+	batch, _ = started.ChangesAfter(keyed.Config, 0)
+	leader.Apply(keyed.Config, batch, false)
+	if got := leader.Get(keyed.Config, "config"); string(got.Value) != "v5" {
+		t.Errorf("tables of the leader are %q", got.Value)
+	}
+}
--- a/internal/peer/mirror/streams.go
+++ b/internal/peer/mirror/streams.go
@@ -3,6 +3,7 @@
 package mirror
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 
@@ -20,6 +21,9 @@
 	// OmitFromPushes reports whether a record matters only to readers of the store. It is reported to OnChange, but not
 	// pushed. nil omits none.
 	OmitFromPushes func(topic keyed.Topic, key string, old, value []byte) bool
+	// IsStale reports whether a value that a restored store has is older than the last known value of its key. It is empty if the
+	// store has none. Stale values don't replace the known entry. nil means that none is stale.
+	IsStale func(topic keyed.Topic, key string, known, value []byte) bool
 
 	applyMu sync.Mutex // held during Apply and its call of OnChange
 	mu      sync.Mutex
@@ -40,6 +44,8 @@
 	keyed.Entry
 	seq          uint64
 	changeOffset uint64
+	lastValue    []byte // the last one that was not empty
+	kept         bool   // the store lost this entry when it was restored, and has an older one or none
 }
 
 // End returns the offset up to which a topic is known, and whether it has been loaded at all.
@@ -76,20 +82,32 @@
 	var changed []keyed.Entry
 	put := func(e keyed.Entry) {
 		old, ok := s.items[e.Key]
-		if ok && old.Offset >= e.Offset {
+		if ok && (old.Offset > e.Offset || old.Offset == e.Offset && !b.replacesStale(topic, old, e)) {
+			return
+		}
+		next := item{Entry: e, seq: old.seq, changeOffset: e.Offset, lastValue: e.Value}
+		if len(e.Value) == 0 {
+			next.lastValue = old.lastValue
+		}
+		if ok && b.IsStale != nil && keyed.Era(e.Offset) > keyed.Era(old.Offset) && len(old.lastValue) > 0 && b.IsStale(topic, e.Key, old.lastValue, e.Value) {
+			// Later than all that the store had when it was restored, so that it also replaces what others have read there.
+			old.Offset, old.kept = max(e.Offset, batch.End-1), true
+			s.items[e.Key] = old
 			return
 		}
 		if ok && len(old.Value) > 0 && len(e.Value) > 0 && b.SameValue != nil && b.SameValue(topic, old.Value, e.Value) {
-			s.items[e.Key] = item{Entry: e, seq: old.seq, changeOffset: old.changeOffset}
+			next.changeOffset = old.changeOffset
+			s.items[e.Key] = next
 			return
 		}
 		if ok && b.OmitFromPushes != nil && b.OmitFromPushes(topic, e.Key, old.Value, e.Value) {
-			s.items[e.Key] = item{Entry: e, seq: old.seq, changeOffset: e.Offset}
+			s.items[e.Key] = next
 			changed = append(changed, e)
 			return
 		}
 		s.seq++
-		s.items[e.Key] = item{Entry: e, seq: s.seq, changeOffset: e.Offset}
+		next.seq = s.seq
+		s.items[e.Key] = next
 		if len(e.Value) > 0 || (ok && len(old.Value) > 0) {
 			changed = append(changed, e)
 		}
@@ -101,6 +119,28 @@
 	return changed
 }
 
+// replacesStale reports whether e, at the position of the known entry, is what another instance kept when the store was restored.
+func (b *Streams) replacesStale(topic keyed.Topic, old item, e keyed.Entry) bool {
+	return b.IsStale != nil && keyed.Era(e.Offset) > 0 && len(e.Value) > 0 && !bytes.Equal(e.Value, old.Value) && !old.kept && b.IsStale(topic, e.Key, e.Value, old.Value)
+}
+
+// DropEarlierEras drops the keys of a topic whose newest record is from before the store was restored.
+func (b *Streams) DropEarlierEras(topic keyed.Topic) {
+	b.mu.Lock()
+	s := &b.streams[topic]
+	begin := keyed.Position(keyed.Era(s.end), 0)
+	batch := keyed.Batch{End: s.end}
+	for key, e := range s.items {
+		if e.Offset < begin && len(e.Value) > 0 {
+			batch.Entries = append(batch.Entries, keyed.Entry{Key: key, Offset: begin})
+		}
+	}
+	b.mu.Unlock()
+	if len(batch.Entries) > 0 {
+		b.Apply(topic, batch, false)
+	}
+}
+
 // Get returns the newest entry of a key. The value is empty if the key is dropped or unknown.
 func (b *Streams) Get(topic keyed.Topic, key string) keyed.Entry {
 	b.mu.Lock()
@@ -132,7 +172,7 @@
 	s := &b.streams[topic]
 	out := keyed.Batch{End: s.end}
 	for _, e := range s.items {
-		if e.changeOffset >= offset {
+		if e.changeOffset >= offset || e.kept {
 			out.Entries = append(out.Entries, e.Entry)
 		}
 	}
--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -22,6 +22,9 @@
 	// serversInterval is the time between reads of the servers' records. A leaving server must get no request after 2.5 s,
 	// which includes the push to the members.
 	serversInterval = 500 * time.Millisecond
+	// maxReadGap is the time without a read of the servers' records after which this instance may have missed some that register
+	// again.
+	maxReadGap = 2 * time.Second
 	// failurePause is the pause after a failed read of tables.
 	failurePause = 350 * time.Millisecond
 	// maxNearLatency is the longest call to a store in the same region. Such a store answers within 4 ms; a round trip
@@ -42,6 +45,10 @@
 	storeLost   bool
 	lastAnswer  time.Time
 	minLatency  time.Duration // shortest read that did not wait
+
+	interruptWait    func()    // ends the current wait for tables; nil before the first
+	serversReadAt    time.Time // last read of the servers' records
+	serversReadSince time.Time // start of these reads, or when the store was restored since
 }
 
 // StoreIsFar reports whether the store seems to be in another region.
@@ -83,24 +90,53 @@
 	if _, known := r.Streams.End(keyed.Servers); !known {
 		return r.Read(ctx, keyed.Servers, 0)
 	}
+	end, _ := r.Streams.End(keyed.Servers)
 	batch, snapshot, ok := r.fetch(ctx, keyed.Servers, 0)
 	if !ok {
 		return false
 	}
-	if snapshot {
+	restored := keyed.Era(batch.End) > keyed.Era(end)
+	if snapshot && !restored {
 		batch.Entries = append(batch.Entries, r.Streams.Removals(keyed.Servers, batch)...)
 	}
 	r.mu.Lock()
-	batch = r.removalHold.Filter(r.Now(), batch)
+	now := r.Now()
+	if restored {
+		r.removalHold.NoteRestored(now)
+	}
+	if restored || now.Sub(r.serversReadAt) > maxReadGap {
+		r.serversReadSince = now
+	}
+	r.serversReadAt = now
+	batch = r.removalHold.Filter(now, batch)
+	settled := now.Sub(r.serversReadSince) >= mirror.ReregisterTime
 	r.mu.Unlock()
 	r.Streams.Apply(keyed.Servers, batch, false)
+	if settled {
+		r.Streams.DropEarlierEras(keyed.Servers)
+	}
 	return true
 }
 
-// AwaitTables waits for new tables. It pauses after a failure.
+// AwaitTables waits for new tables. It pauses after a failure, but not if another call has found the store back meanwhile.
 func (r *Reader) AwaitTables(ctx context.Context) {
-	if !r.Read(ctx, keyed.Config, tablesWait) {
-		Sleep(ctx, failurePause)
+	waitCtx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
+	r.mu.Lock()
+	r.interruptWait = interrupt
+	r.mu.Unlock()
+	if !r.Read(waitCtx, keyed.Config, tablesWait) {
+		Sleep(waitCtx, failurePause)
+	}
+}
+
+// interruptStaleWait ends the current wait for tables. It was sent before the store was away or restored and may never be
+// answered.
+func (r *Reader) interruptStaleWait() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interruptWait != nil {
+		r.interruptWait()
 	}
 }
 
@@ -142,6 +178,12 @@
 		r.noteLatency(r.Now().Sub(begun))
 	}
 	r.NoteResult(t, err)
+	if known && err == nil && keyed.Era(b.End) > keyed.Era(end) {
+		r.Events.Warn("store-restored", "stream", t, "known", keyed.FormatPosition(end), "end", keyed.FormatPosition(b.End))
+		if t != keyed.Config {
+			r.interruptStaleWait()
+		}
+	}
 	return b, true, err == nil
 }
 
--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -140,6 +140,14 @@
 	return k
 }
 
+// DistrustOwners notes that the owners which the assigner has taken over may not be the latest ones. Nobody gets keys before the
+// grants of earlier leaders have ended; then the recorded owners get them back.
+func (k *Assigner) DistrustOwners(now time.Time) {
+	for _, p := range k.ranges {
+		p.state, p.stateSince, p.target = unowned, now, p.Owner
+	}
+}
+
 func (k *Assigner) insert(p *keyRange) *keyRange {
 	i := 0
 	for i < len(k.ranges) && k.ranges[i].First < p.First {
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -29,10 +29,12 @@
 	maxFormerServers = 200
 )
 
-// Decoder decodes the tables that operators publish and the registrations of servers. Both fields must be set.
+// Decoder decodes the tables that operators publish and the registrations of servers. All fields must be set.
 type Decoder struct {
 	DecodeTables func(value []byte) (version uint64, t *tables.Tables, err error)
 	DecodeServer func(id string, value []byte, offset uint64, now time.Time) (*topo.Server, error)
+	// IsOlderServer reports whether the second of two registrations is not newer than the first.
+	IsOlderServer func(known, value []byte) bool
 }
 
 // Builder holds the state decoded from the records. It is not safe for concurrent use.
@@ -66,7 +68,7 @@
 			b.applyServer(now, e)
 		case keyed.Place:
 			if err := b.applyPlace(e); err != nil {
-				b.Log.Error("record-unreadable", "key", e.Key, "offset", e.Offset, "error", err)
+				b.Log.Error("record-unreadable", "key", e.Key, "offset", keyed.FormatPosition(e.Offset), "error", err)
 			}
 		}
 	}
@@ -79,7 +81,7 @@
 	}
 	version, t, err := b.Decoder.DecodeTables(e.Value)
 	if err != nil {
-		b.Log.Error("tables-rejected", "offset", e.Offset, "error", err)
+		b.Log.Error("tables-rejected", "offset", keyed.FormatPosition(e.Offset), "error", err)
 		return
 	}
 	if b.Tables != nil && version <= b.Version {
@@ -87,7 +89,7 @@
 		return
 	}
 	b.Version, b.Tables, b.routes = version, t, topo.NewRoutes(t)
-	b.Log.Info("tables", "version", version, "offset", e.Offset, "routes", len(t.Routes), "pools", len(t.Pools))
+	b.Log.Info("tables", "version", version, "offset", keyed.FormatPosition(e.Offset), "routes", len(t.Routes), "pools", len(t.Pools))
 }
 
 func (b *Builder) applyServer(now time.Time, e keyed.Entry) {
@@ -99,13 +101,13 @@
 		if old != nil {
 			b.addFormer(old)
 			delete(b.Servers, e.Key)
-			b.Log.Info("server-gone", "server", e.Key, "pool", old.Pool, "offset", e.Offset)
+			b.Log.Info("server-gone", "server", e.Key, "pool", old.Pool, "offset", keyed.FormatPosition(e.Offset))
 		}
 		return
 	}
 	s, err := b.Decoder.DecodeServer(e.Key, e.Value, e.Offset, now)
 	if err != nil {
-		b.Log.Warn("registration-rejected", "server", e.Key, "offset", e.Offset, "error", err)
+		b.Log.Warn("registration-rejected", "server", e.Key, "offset", keyed.FormatPosition(e.Offset), "error", err)
 		return
 	}
 	if s.Leaving {
@@ -116,7 +118,7 @@
 	}
 	b.Servers[e.Key] = s
 	if old == nil || old.Owner != s.Owner || old.Leaving != s.Leaving {
-		b.Log.Info("server", "server", e.Key, "pool", s.Pool, "address", s.Address, "leaving", s.Leaving, "offset", e.Offset)
+		b.Log.Info("server", "server", e.Key, "pool", s.Pool, "address", s.Address, "leaving", s.Leaving, "offset", keyed.FormatPosition(e.Offset))
 	}
 }
 
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -121,7 +121,7 @@
 	c.builder = build.Builder{
 		Decoder: cfg.Decoder, Log: cfg.Events, OnLead: c.observeLead,
 	}
-	c.book = &mirror.Streams{OnChange: c.applyEntries, SameValue: cfg.SameValue, OmitFromPushes: build.IsLeadRenewal}
+	c.book = &mirror.Streams{OnChange: c.applyEntries, SameValue: cfg.SameValue, OmitFromPushes: build.IsLeadRenewal, IsStale: cfg.Decoder.IsStale}
 	c.reader = &reads.Reader{Log: cfg.Log, Streams: c.book, Events: cfg.Events, Now: cfg.Now}
 	c.pusher = &push.Pusher{Self: c.leadership.Self, Client: c.client, Streams: c.book, NewRequest: c.newPush, OnReply: c.handleReply, OnFailure: c.logPushFailure, CrashOnPanic: c.log.Guard}
 	c.relay = push.NewRelay(c.pusher, cfg.Now, func(s []*sitepb.Strike) { cfg.LearnStrikes(time.Now(), s) })
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -35,8 +35,9 @@
 	}
 	// This instance has no quorum until a renewal records its own members. A successor that finds only this claim, whose answer
 	// may be lost, waits for the earlier members.
-	next := c.leadership.NextRecord(rand.Uint64(), earlier.Members, false)
 	end, _ := c.book.End(keyed.Place)
+	c.leadership.MinTerm = firstTerm(end)
+	next := c.leadership.NextRecord(rand.Uint64(), earlier.Members, false)
 	c.mu.Unlock()
 	start := c.cfg.Now()
 	if !known {
@@ -47,14 +48,14 @@
 	defer c.mu.Unlock()
 	c.appending = false
 	if err != nil {
-		c.log.Info("claim-failed", "term", next.Term, "at", end, "error", err)
+		c.log.Info("claim-failed", "term", next.Term, "at", keyed.FormatPosition(end), "error", err)
 		return
 	}
 	now := c.cfg.Now()
 	next.Offset = newEnd - 1
 	c.leadership.ConfirmAppend(now, start, next)
-	c.log.Info("claimed", "term", next.Term, "at", end, "fence", c.builder.HighestFence)
-	c.beginLeading(now, earlier, renewed)
+	c.log.Info("claimed", "term", next.Term, "at", keyed.FormatPosition(end), "fence", c.builder.HighestFence)
+	c.beginLeading(now, earlier, renewed, end)
 }
 
 // appendLead appends the lead, and the owners if any, to the place stream if it still ends at at.
@@ -82,8 +83,9 @@
 }
 
 // beginLeading sets up the leader's state. The earlier leader, whose last renewal began before renewed, may act until its
-// members follow this one, and its grants last longer. One that resigned sends no more grants. c.mu is held.
-func (c *Coordinator) beginLeading(now time.Time, earlier elect.LeadRecord, renewed time.Time) {
+// members follow this one, and its grants last longer. One that resigned sends no more grants. The place stream ended at end.
+// c.mu is held.
+func (c *Coordinator) beginLeading(now time.Time, earlier elect.LeadRecord, renewed time.Time, end uint64) {
 	inheritedUntil := renewed.Add(elect.MaxUnconfirmed + grantTimeout + c.maxGrantDuration())
 	if earlier.Resigned {
 		inheritedUntil = now.Add(grantTimeout + c.maxGrantDuration())
@@ -92,12 +94,17 @@
 		earlierRecord: earlier, earlierRenewedAt: renewed, quorum: elect.NewQuorum(nil), successionQuorum: elect.NewQuorum(earlier.Members),
 		startedAt: now, keepers: make(map[string]*assign.Assigner), gathers: make(map[string]*assign.InitialDelay), gauge: load.New(),
 		permits:  quota.NewArbiter(c.cfg.Limits),
-		maxFence: c.builder.HighestFence,
+		maxFence: max(c.builder.HighestFence, firstFence(end)), recordedEra: keyed.Era(end),
 	}
 	c.leader.gauge.NamedRate = c.namedRate
 	c.leader.successionQuorum.AddAck(c.leadership.Self, now, c.member.followedAt)
 	for pool, m := range c.builder.Owners {
-		c.leader.keepers[pool] = assign.New(m, &c.leader.maxFence, now, inheritedUntil)
+		k := assign.New(m, &c.leader.maxFence, now, inheritedUntil)
+		if c.mayLackMoves(pool, end) {
+			k.DistrustOwners(now)
+			c.log.Warn("owners-unsure", "pool", pool, "end", keyed.FormatPosition(end))
+		}
+		c.leader.keepers[pool] = k
 	}
 	c.relay.SetPeers(now, nil)
 	// What this instance knew of the others when it last led is so old that they would count as silent.
@@ -186,15 +193,22 @@
 		owners[pool] = m
 		dirty = dirty || changed
 	}
+	end, _ := c.book.End(keyed.Place)
+	rewrite := keyed.Era(end) != c.leader.recordedEra
+	dirty = dirty || rewrite
 	if c.appending || !dirty && !c.leadership.RenewalDue(now) || now.Sub(c.leader.lastAppend) < minAppendInterval {
 		return
 	}
 	c.appending, c.leader.lastAppend = true, now
 	var ownerRecords map[string][]byte
+	recorded := c.builder.Chunks
+	if rewrite {
+		recorded, c.leader.maxFence = nil, max(c.leader.maxFence, firstFence(end))
+	}
 	fence := c.leader.maxFence
 	if dirty {
 		var err error
-		if ownerRecords, err = chunks.EncodeChanged(c.builder.Chunks, owners, fence); err != nil {
+		if ownerRecords, err = chunks.EncodeChanged(recorded, owners, fence); err != nil {
 			c.log.Error("owners-unrecorded", "error", err)
 			c.appending = false
 			return
@@ -205,7 +219,6 @@
 	}
 	next := c.leadership.NextRecord(rand.Uint64(), c.leader.peers, c.needsNewTerm(now))
 	c.leadership.BeginAppend(now, next)
-	end, _ := c.book.End(keyed.Place)
 	l := c.leader
 	c.runInBackground(func() { c.writeRecord(l, end, next, ownerRecords, fence) })
 }
@@ -238,6 +251,7 @@
 		// Members that learn of a renewal at once do not take it for a new sign of life when they read it later.
 		l.newsNumber++
 		if ownerRecords != nil {
+			l.recordedEra = keyed.Era(end)
 			for _, k := range l.keepers {
 				k.ConfirmRecord(fence)
 			}
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -127,13 +127,12 @@
 	if err := stream.Apply(c.book, r.GetStreams()); err != nil {
 		c.log.Error("push-unreadable", "from", r.GetFrom(), "error", err)
 	}
-	if after, _ := c.book.End(keyed.Place); after != before {
-		return
-	}
-	// There were no new records of the lead or the owners.
+	after, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.member.toldAt.Equal(now) {
+	c.noteEra(now, before, after)
+	// Without new records of the lead or the owners it was told nothing.
+	if after == before && c.member.toldAt.Equal(now) {
 		c.member.toldAt = previous
 	}
 }
@@ -287,11 +286,14 @@
 		c.mu.Unlock()
 	}()
 	ctx := context.Background()
+	before, _ := c.book.End(keyed.Place)
 	if !c.reader.Read(ctx, keyed.Place, 0) {
 		return
 	}
+	after, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
 	now := c.cfg.Now()
+	c.noteEra(now, before, after)
 	lead, known := c.leadership.Record()
 	shouldClaim := c.leadership.ShouldClaim(now, c.candidateRank(lead.Term))
 	silence, large := now.Sub(c.member.heardAt), c.isLargeDeployment()
--- /dev/null
+++ b/internal/place/coord/restore.go
@@ -0,0 +1,39 @@
+package coord
+
+import (
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+)
+
+// A store that is restored from an older copy has lost the latest terms and fences. Those of an era begin above all of the eras
+// before, so that an instance that knows only the copy uses none again.
+const (
+	// numbersPerEra is the number of terms and of fences in an era.
+	numbersPerEra = 1 << 32
+	// maxNumberedEra bounds fences to integers that servers can read as floating-point numbers.
+	maxNumberedEra = 1<<20 - 1
+)
+
+func firstTerm(end uint64) uint64 { return min(keyed.Era(end), maxNumberedEra) * numbersPerEra }
+
+func firstFence(end uint64) uint64 { return firstTerm(end) }
+
+// mayLackMoves reports whether the recorded owners of a pool may be older than the latest moves: no leader has recorded them
+// since the store was restored. c.mu is held.
+func (c *Coordinator) mayLackMoves(pool string, end uint64) bool {
+	for _, o := range c.builder.Chunks {
+		if o.GetPool() == pool && o.GetFence() < firstFence(end) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteEra notes that the known end of the place stream went from before to after. In a new era the holder of the lead records
+// lead and owners again; a successor would have to wait until all grants have ended. c.mu is held.
+func (c *Coordinator) noteEra(now time.Time, before, after uint64) {
+	if keyed.Era(after) > keyed.Era(before) {
+		c.leadership.MarkRestored(now)
+	}
+}
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -56,6 +56,7 @@
 	plannedAt        time.Time
 	newsNumber       uint64           // rises when members must be told at once
 	maxFence         uint64           // highest fence ever used
+	recordedEra      uint64           // era of the store in which the owners were last recorded
 	sortedPeers      []string         // all instances, in order of their addresses
 	peers            []string         // the same, in the order of succession
 	sortedAt         time.Time        // when that order was last decided
--- a/internal/place/elect/elect_test.go
+++ b/internal/place/elect/elect_test.go
@@ -384,3 +384,24 @@
 		t.Error("the holder acts after the claim of another instance")
 	}
 }
+
+// Guards against a term that is given out again after the store has lost it, and a holder that is succeeded before it could renew
+// the lead in a restored store.
+func TestRestoredStore(t *testing.T) {
+	l := elect.Leadership{Self: "b", MinTerm: 1 << 32}
+	l.Observe(epoch, elect.LeadRecord{Holder: "a", Term: 3, Offset: 7})
+	if next := l.NextRecord(1, nil, false); next.Term != 1<<32 {
+		t.Errorf("term %d, want the first of the era", next.Term)
+	}
+	at := epoch.Add(3 * time.Second)
+	if !l.ShouldClaim(at, 0) {
+		t.Error("a lead that was not renewed for 3 s is not claimed")
+	}
+	l.MarkRestored(at)
+	if l.ShouldClaim(at.Add(time.Second), 0) {
+		t.Error("claimed one second after the restoration")
+	}
+	if !l.ShouldClaim(at.Add(3*time.Second), 0) {
+		t.Error("not claimed 3 s after the restoration")
+	}
+}
--- a/internal/place/elect/leadership.go
+++ b/internal/place/elect/leadership.go
@@ -39,6 +39,9 @@
 // Leadership is one instance's view of the lead. It is not safe for concurrent use.
 type Leadership struct {
 	Self string // address of this instance, unique among those that run
+	// MinTerm is the lowest term of a claim. It rises when the store is restored, so that a term which the store has lost is
+	// never given out again.
+	MinTerm uint64
 
 	record         LeadRecord
 	hasRecord      bool
@@ -101,6 +104,13 @@
 	}
 }
 
+// MarkRestored notes that the store was found restored from an older copy. The holder gets the time to renew the lead there.
+func (l *Leadership) MarkRestored(now time.Time) {
+	if l.hasRecord && !l.record.Resigned {
+		l.renewedAt = now
+	}
+}
+
 // MarkStreamsRead notes that the streams were read. If they have no lead, the candidates' delays count from now.
 func (l *Leadership) MarkStreamsRead(now time.Time) {
 	if !l.hasRecord {
@@ -185,7 +195,7 @@
 func (l *Leadership) NextRecord(nonce uint64, members []string, newTerm bool) LeadRecord {
 	term := l.record.Term
 	if !l.isHolder || newTerm {
-		term++
+		term = max(term+1, l.MinTerm)
 	}
 	return LeadRecord{Holder: l.Self, Term: term, Nonce: nonce, Members: members}
 }
--- a/internal/plat/keyed/keyed.go
+++ b/internal/plat/keyed/keyed.go
@@ -30,30 +30,34 @@
 	return [...]string{"config", "servers", "place"}[t]
 }
 
-// Entry is a record of a key. Offset is its position in the stream; an empty Value means that the key was dropped.
+// Entry is a record of a key. Offset is its position; an empty Value means that the key was dropped.
 type Entry struct {
 	Key    string
 	Offset uint64
 	Value  []byte
 }
 
-// Batch is a list of records. End is the offset that the next record of the stream gets.
+// Batch is a list of records. End is the position that the next record of the stream gets.
 type Batch struct {
 	Entries []Entry
 	End     uint64
 }
 
-// ConflictError means that a conditional append did nothing because the stream ends at End.
+// ConflictError means that the condition of an append did not hold because the stream ends at End. The entries are not in the
+// stream, unless the store had been restored to a copy that happened to end at the same offset.
 type ConflictError struct{ End uint64 }
 
 // Error names the end of the stream.
-func (e *ConflictError) Error() string { return fmt.Sprintf("the stream ends at %d", e.End) }
+func (e *ConflictError) Error() string { return "the stream ends at " + FormatPosition(e.End) }
 
-// TrimmedError means that the records before First are no longer retained.
+// TrimmedError means that the records before First are no longer retained, or that the store is in a newer era, whose records
+// begin at First.
 type TrimmedError struct{ First uint64 }
 
-// Error names the oldest retained offset.
-func (e *TrimmedError) Error() string { return fmt.Sprintf("records before %d are gone", e.First) }
+// Error names the oldest retained position.
+func (e *TrimmedError) Error() string {
+	return "records before " + FormatPosition(e.First) + " are gone"
+}
 
 // RefusedError means that the store refused the call and did nothing.
 type RefusedError struct{ Status int }
@@ -66,10 +70,12 @@
 	// Newest returns the newest record of each key, without dropped keys. Records of the batch may be newer than its
 	// End; a read from there returns them again.
 	Newest func(ctx context.Context, topic Topic) (Batch, error)
-	// Read returns the records from offset from on and waits up to wait for the first. It fails with *TrimmedError if
-	// some of them are gone.
+	// Read returns the records from position from on and waits up to wait for the first. It fails with *TrimmedError if
+	// some of them are gone, or if the store was restored since.
 	Read func(ctx context.Context, topic Topic, from uint64, wait time.Duration) (Batch, error)
-	// Append adds entries if the stream ends at offset at, and fails with *ConflictError otherwise. A negative at sets no
+	// End returns the end of a stream.
+	End func(ctx context.Context, topic Topic) (uint64, error)
+	// Append adds entries if the stream ends at position at, and fails with *ConflictError otherwise. A negative at sets no
 	// condition. After errors other than *ConflictError and *RefusedError the append may take effect, at once or later.
 	Append func(ctx context.Context, topic Topic, at int64, entries []Entry) (end uint64, err error)
 }
