Keep lead and owners when the restored store is empty

The copy was older than the first record of the place stream. Its removals got a position before the new era, so that they dropped the lead and the owners that instances knew, and a new leader assigned all keys at once.

Removals in an empty copy get a position of its era. An instance that starts with a restored store without owners asks all that it knows for theirs.

--- a/internal/peer/mirror/restored_test.go
+++ b/internal/peer/mirror/restored_test.go
@@ -74,3 +74,17 @@
 		t.Errorf("tables of the leader are %q", got.Value)
 	}
 }
+
+// Guards against a lead that is dropped because the copy is older than its first record.
+func TestRestoredEmpty(t *testing.T) {
+	b := newRestorable()
+	b.Apply(keyed.Place, keyed.Batch{Entries: []keyed.Entry{entry("lead", 5, "t3")}, End: 6}, true)
+	b.Apply(keyed.Place, keyed.Batch{End: restored(0)}, true)
+	if got := b.Get(keyed.Place, "lead"); string(got.Value) != "t3" {
+		t.Errorf("the lead is %q", got.Value)
+	}
+	b.Apply(keyed.Place, keyed.Batch{Entries: []keyed.Entry{entry("lead", restored(1), "t4")}, End: restored(2)}, false)
+	if got := b.Get(keyed.Place, "lead"); string(got.Value) != "t4" {
+		t.Errorf("the next lead is %q", got.Value)
+	}
+}
--- a/internal/peer/mirror/streams.go
+++ b/internal/peer/mirror/streams.go
@@ -156,9 +156,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	// A restored store may be empty.
+	last := max(batch.End, keyed.Position(keyed.Era(batch.End), 0)+1) - 1
 	for key, e := range b.streams[topic].items {
-		if !listed[key] && len(e.Value) > 0 && e.Offset+1 < batch.End {
-			out = append(out, keyed.Entry{Key: key, Offset: batch.End - 1})
+		if !listed[key] && len(e.Value) > 0 && e.Offset < last {
+			out = append(out, keyed.Entry{Key: key, Offset: last})
 		}
 	}
 	return out
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
@@ -41,6 +44,9 @@
 			reads.Sleep(ctx, storeReadInterval/2)
 		}
 	}
+	if c.mayHaveLostOwners() {
+		c.pullAll(ctx)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.member.started, c.member.startTerm = done, c.currentTerm()
@@ -91,18 +97,32 @@
 
 // pullAny pulls from known instances and seeds until the tables are known.
 func (c *Coordinator) pullAny(ctx context.Context) bool {
+	for _, a := range c.knownAddresses() {
+		if c.pull(ctx, a) {
+			return true
+		}
+	}
+	return false
+}
+
+// pullAll pulls from all known instances and seeds.
+func (c *Coordinator) pullAll(ctx context.Context) {
+	var wg conc.WaitGroup
+	for _, a := range c.knownAddresses() {
+		wg.Go(func() { c.log.Guard(func() { c.pull(ctx, a) }) })
+	}
+	wg.Wait()
+}
+
+// knownAddresses returns the addresses of the other known instances and of the seeds.
+func (c *Coordinator) knownAddresses() (addrs []string) {
 	c.mu.Lock()
-	addrs := append([]string(nil), c.member.peers...)
+	addrs = append(addrs, c.member.peers...)
 	c.mu.Unlock()
 	for _, a := range c.cfg.Seeds() {
 		addrs = append(addrs, a.String())
 	}
-	for _, a := range addrs {
-		if a != c.leadership.Self && c.pull(ctx, a) {
-			return true
-		}
-	}
-	return false
+	return slices.DeleteFunc(addrs, func(a string) bool { return a == c.leadership.Self })
 }
 
 // pull takes the streams of another instance and reports whether the tables are known.
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -37,3 +37,12 @@
 		c.leadership.MarkRestored(now)
 	}
 }
+
+// mayHaveLostOwners reports whether the store has no owners though it was restored: the copy may be older than their first
+// record, and other instances know them.
+func (c *Coordinator) mayHaveLostOwners() bool {
+	end, _ := c.book.End(keyed.Place)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return keyed.Era(end) > 0 && len(c.builder.Chunks) == 0
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,7 @@
 
 // regressions are seeds that once failed, with the cause.
 var regressions = map[uint64]string{
+	203:  "a-copy-of-the-store-without-owners-let-a-new-leader-assign-keys-that-servers-still-held",
 	9215: "a-grant-given-up-on-a-connection-opened-during-a-cut-was-passed-on-by-the-proxy-when-it-healed",
 	5020: "a-restarted-server-before-a-change-of-leader-kept-its-keys-unserved-for-17s",
 	304:  "a-new-life-accepted-a-grant-for-the-old-one-and-its-keys-were-given-on-at-once",
@@ -344,8 +345,9 @@
 			}
 		}()
 	}
-	s.wg.Add(1)
+	s.wg.Add(2)
 	go s.nameLimits()
+	go s.restoreStore()
 	time.Sleep(faultTime)
 	close(s.end)
 	s.wg.Wait()
