--- a/internal/flow/sender/permit.go
+++ b/internal/flow/sender/permit.go
@@ -19,7 +19,7 @@
 }
 
 // deniedError is the failure to choose a server because those with room are at their limits.
-type deniedError denial
+type deniedError struct{ denial }
 
 func (*deniedError) Error() string { return "servers are at the limits that they have named" }
 
@@ -37,12 +37,7 @@
 	if rank < d.rank || !now.Before(d.until) {
 		return nil
 	}
-	return (*deniedError)(d).copy()
-}
-
-func (e *deniedError) copy() *deniedError {
-	out := *e
-	return &out
+	return &deniedError{*d}
 }
 
 // deny records a refused permit. One for a more urgent rank stays in force, as it also refuses this one.
--- a/internal/place/load/load.go
+++ b/internal/place/load/load.go
@@ -31,9 +31,11 @@
 	defaultAnswerTime = 150 * time.Millisecond
 	// minCapacityFactor and maxCapacityFactor bound the estimate for a server, as multiples of the average for its slots.
 	minCapacityFactor, maxCapacityFactor = 0.25, 3
-	// namedCapacityPart is the part of a named limit that counts as capacity: requests come unevenly, and those over the limit
-	// are refused.
-	namedCapacityPart = 0.5
+	// leastNamedPart is the part of a named limit that counts as capacity while the servers without one are not busy: requests come
+	// unevenly, and those over the limit are refused. All of it counts from busyUtilisation of the others on.
+	leastNamedPart  = 0.5
+	calmUtilisation = 0.6
+	busyUtilisation = 0.9
 	// minNamedCapacity is the capacity, in requests per second, of a server that has named a lower limit.
 	minNamedCapacity = 0.1
 )
@@ -164,16 +166,38 @@
 		if measured := e.servers[s.Server].capacity(s.Slots); measured > 0 {
 			c = min(max(measured, c*minCapacityFactor), c*maxCapacityFactor)
 		}
-		if e.NamedRate != nil {
-			if rate, ok := e.NamedRate(s); ok {
-				c = min(c, max(namedCapacityPart*rate, minNamedCapacity))
-			}
-		}
 		out = append(out, shift.Server{Owner: s.Owner, Capacity: c, AcceptsKeys: acceptsKeys(s)})
 	}
+	e.boundByNamedRates(servers, out)
 	return out
 }
 
+// boundByNamedRates lowers the capacities of the servers that have named a limit.
+func (e *Estimator) boundByNamedRates(servers []*topo.Server, capacities []shift.Server) {
+	if e.NamedRate == nil || len(servers) == 0 {
+		return
+	}
+	rates, unlimited := make(map[int]float64), 0.0
+	for i, s := range servers {
+		if rate, ok := e.NamedRate(s); ok {
+			rates[i] = rate
+		} else if capacities[i].AcceptsKeys {
+			unlimited += capacities[i].Capacity
+		}
+	}
+	if len(rates) == 0 {
+		return
+	}
+	part := 1.0
+	if unlimited > 0 {
+		busy := (e.KeyLoads(servers[0].Pool).Sum(0, spans.Last)/unlimited - calmUtilisation) / (busyUtilisation - calmUtilisation)
+		part = leastNamedPart + (1-leastNamedPart)*min(max(busy, 0), 1)
+	}
+	for i, rate := range rates {
+		capacities[i].Capacity = min(capacities[i].Capacity, max(part*rate, minNamedCapacity))
+	}
+}
+
 // serverStats holds the answers and averages of a server.
 type serverStats struct {
 	answers       int           // in the current interval
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -12,7 +12,9 @@
 func (s *soak) restoreStore() {
 	defer s.wg.Done()
 	rng := rand.New(rand.NewPCG(s.seed, 13))
-	span := func(least, most time.Duration) time.Duration { return least + time.Duration(rng.Int64N(int64(most-least))) }
+	span := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int64N(int64(most-least)))
+	}
 	for {
 		s.pause(span(2*time.Second, 9*time.Second))
 		select {
