Claim the lead again after a lapse and a restoration of the store

Found by reading: a leader that was suspended or cut off until its lease had ended could renew its lead in a restored store if the copy was older than the claim of its successor. Both would have led until the next record of the successor. A holder that may not act when it finds the store in a new era now gives the lead up and claims it with a term of that era, with the waits of any claim. coord.TestLeadAfterLapseAndRestoration failed before: "the first lead after the restoration has term 5".

--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -231,7 +231,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.leader != nil && !c.leadership.IsHolder():
+	case c.leader != nil && (!c.leadership.IsHolder() || c.mayHaveLostSuccessor(now)):
 		c.stopLeading(now)
 	case c.leader != nil:
 		c.leaderRound(now)
--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -47,6 +47,7 @@
 	serverReads  int         // reads of all servers
 	foreignPlace keyed.Batch // what reads of the place stream return
 	entries      []keyed.Entry
+	era          uint64
 	appendTimes  []time.Time // of successful appends
 	failures     int         // appends that fail before each renewal
 	failed       int         // of them, since the last successful append
@@ -84,6 +85,9 @@
 			if l.unavailable {
 				return keyed.Batch{}, &keyed.RefusedError{Status: 503}
 			}
+			if keyed.Era(from) < l.era {
+				return keyed.Batch{}, &keyed.TrimmedError{First: keyed.Position(l.era, 0)}
+			}
 			if topic == keyed.Place && l.foreignPlace.End > from {
 				return l.foreignPlace, nil
 			}
@@ -112,12 +116,12 @@
 				l.failed++
 				return 0, errors.New("EOF")
 			}
-			if at != int64(len(l.entries)) {
-				return 0, &keyed.ConflictError{End: uint64(len(l.entries))}
+			if end := keyed.Position(l.era, uint64(len(l.entries))); uint64(at) != end {
+				return 0, &keyed.ConflictError{End: end}
 			}
 			l.entries = append(l.entries, entries...)
 			l.appendTimes, l.failed = append(l.appendTimes, time.Now()), 0
-			return uint64(len(l.entries)), nil
+			return keyed.Position(l.era, uint64(len(l.entries))), nil
 		},
 	}
 }
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -46,3 +46,10 @@
 	defer c.mu.Unlock()
 	return keyed.Era(end) > 0 && len(c.builder.Chunks) == 0
 }
+
+// mayHaveLostSuccessor reports whether this instance leads by a record from before the store was restored and may not act. The
+// store may have lost the claim of a successor, so that a renewal would succeed: it has to claim the lead again. c.mu is held.
+func (c *Coordinator) mayHaveLostSuccessor(now time.Time) bool {
+	end, _ := c.book.End(keyed.Place)
+	return keyed.Era(end) != c.leader.recordedEra && !c.mayAct(now)
+}
--- /dev/null
+++ b/internal/place/coord/restored_test.go
@@ -0,0 +1,56 @@
+package coord_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bramleycove/bramleycove/internal/place/build"
+	"github.com/bramleycove/bramleycove/internal/place/elect"
+	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+)
+
+// Guards against a leader whose lease has ended and that goes on by its earlier record: the store was restored, and may have lost
+// the claim of a successor.
+func TestLeadAfterLapseAndRestoration(t *testing.T) {
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	earlier, err := build.EncodeLead(elect.LeadRecord{Holder: self.String(), Term: 4, Members: []string{self.String(), "127.0.0.1:2", "127.0.0.1:3"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &fakeLog{appendTime: 20 * time.Millisecond, entries: []keyed.Entry{earlier}, foreignPlace: keyed.Batch{Entries: []keyed.Entry{earlier}, End: 1}}
+	_, stop := start(self, store)
+	defer stop()
+	for begun := time.Now(); !store.isAppending(2); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("the lead is not claimed and renewed")
+		}
+	}
+	store.setUnavailable(true)
+	time.Sleep(elect.LeaseDuration + 500*time.Millisecond)
+	store.mu.Lock()
+	earlier.Offset = keyed.Position(1, 0)
+	store.era, store.entries = 1, []keyed.Entry{earlier}
+	store.foreignPlace = keyed.Batch{Entries: []keyed.Entry{earlier}, End: keyed.Position(1, 1)}
+	store.unavailable = false
+	store.mu.Unlock()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		store.mu.Lock()
+		n := len(store.entries)
+		store.mu.Unlock()
+		if n > 1 {
+			break
+		}
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("nothing is recorded after the restoration")
+		}
+	}
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for _, e := range store.entries[1:] {
+		if l, ok, err := build.ParseLead(e); ok && (err != nil || l.Term < 1<<32) {
+			t.Errorf("the first lead after the restoration has term %d, error %v; want a claim with a term of the new era", l.Term, err)
+		}
+		break
+	}
+}
