Ask a server at its limit again while the others are free

Callers saw: nothing yet, but a limit stayed in force after the server had ceased to name it.

Cause: only answers tell of the end of a limit. In an unkeyed pool a server with a worse mean answer time, or in another region, is not chosen while the others are free, so that nobody sends it the request that would show it.

Change: a limit that nobody has seen named for 1 to 3 s, by distance, gets one request whatever the others offer. It still needs a permit.

--- a/internal/flow/quota/book.go
+++ b/internal/flow/quota/book.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,8 +41,9 @@
 	// OnChange is called when a limit is learnt, changes or ends, with the book locked. It may be nil.
 	OnChange func(incarnation string, l Limit)
 
-	mu     sync.Mutex
-	limits map[string]*bookEntry
+	mu      sync.Mutex
+	limits  map[string]*bookEntry
+	inForce atomic.Int32 // limits that have not ended
 }
 
 type bookEntry struct {
@@ -87,6 +89,8 @@
 	old := b.limits[incarnation]
 	e := &bookEntry{Limit: l, observed: observed, changedAt: now}
 	b.limits[incarnation] = e
+	b.countInForce(e, 1)
+	b.countInForce(old, -1)
 	switch {
 	case old == nil && l.Ended:
 	case old != nil && old.Rate == l.Rate && old.Ended == l.Ended:
@@ -96,8 +100,17 @@
 	}
 }
 
+func (b *Book) countInForce(e *bookEntry, n int32) {
+	if e != nil && !e.Ended {
+		b.inForce.Add(n)
+	}
+}
+
 // Limit returns the limit in force of a server's incarnation.
 func (b *Book) Limit(incarnation string) (l Limit, ok bool) {
+	if b.inForce.Load() == 0 {
+		return Limit{}, false
+	}
 	l, ok = b.Known(incarnation)
 	return l, ok && !l.Ended
 }
@@ -141,6 +154,7 @@
 	defer b.mu.Unlock()
 	for id, e := range b.limits {
 		if !exists(id) || e.Ended && now.Sub(e.Seen) > endedKept {
+			b.countInForce(e, -1)
 			delete(b.limits, id)
 		}
 	}
--- a/internal/flow/sender/permit.go
+++ b/internal/flow/sender/permit.go
@@ -6,11 +6,30 @@
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/place/topo"
 )
 
 // minDenial is the least time for which a server is not asked for again after a refused permit.
 const minDenial = 5 * time.Millisecond
 
+// confirmAfter is the age of a limit from which on a request goes to the server whatever the others offer, by distance: while
+// these are free, no answer would tell that the limit has ended.
+var confirmAfter = [...]time.Duration{topo.SameDC: time.Second, topo.SameRegion: 1500 * time.Millisecond, topo.OtherRegion: 3 * time.Second}
+
+// mustConfirm reports whether the limit of a server, whose state is st, has not been named for long. c.mu is held.
+func (c *Sender) mustConfirm(now time.Time, x *Call, s *topo.Server, st *serverState) bool {
+	l, limited := c.cfg.Limits.Limit(s.Incarnation())
+	if !limited || !st.Ready(now) || !st.HasRoom(now, x.isUrgent()) {
+		return false
+	}
+	age := confirmAfter[c.cfg.Location.DistanceTo(s.DC)]
+	if now.Sub(l.Seen) < age || now.Sub(st.confirmedAt) < age {
+		return false
+	}
+	st.confirmedAt = now
+	return true
+}
+
 // denial is the latest refused permit for a server.
 type denial struct {
 	rank     int // lower ranks, which are higher numbers, are refused as well
--- a/internal/flow/sender/permit_test.go
+++ b/internal/flow/sender/permit_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+// Guards against a limit that is kept after its end, because other servers are chosen and no answer tells of it.
+func TestLimitEndsUnnoticed(t *testing.T) {
+	limited, free := startServer(t, "a", answerOK), startServer(t, "b", answerOK)
+	limited.DC = "far" // so that the free one is chosen first
+	s, p := newLimitedSender(t, false, 1, limited, free)
+	for want, age := range []time.Duration{0, 5 * time.Second} {
+		p.Observe(time.Now().Add(-age), time.Now(), limited.Incarnation(), quota.Named{Rate: 2, Set: true}, true)
+		limited.requestCount.Store(0)
+		for range 5 {
+			if _, err := s.send(context.Background(), true, time.Second); err != nil {
+				t.Error(err)
+			}
+		}
+		if n := int(limited.requestCount.Load()); n != want {
+			t.Errorf("%d of 5 requests sent to the server %v after it last named its limit, want %d", n, age, want)
+		}
+	}
+	if l, limited := p.Limit(limited.Incarnation()); limited {
+		t.Errorf("the limit of %v is still in force after an answer without one", l.Rate)
+	}
+}
+
 // Guards against second attempts that no permit covers.
 func TestRetryAtLimit(t *testing.T) {
 	const earning = 20 // requests that earn the budget for a retry
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -118,6 +118,8 @@
 	pool     *conns.Pool
 	addr     netip.AddrPort
 	lastUsed time.Time
+	// confirmedAt is when a request was last sent to learn whether the server's limit has ended.
+	confirmedAt time.Time
 }
 
 // New returns a sender without connections.
@@ -338,6 +340,10 @@
 			}
 			continue
 		}
+		if c.mustConfirm(now, x, s, st) {
+			st.Start()
+			return &target{Server: s, state: st}, nil
+		}
 		candidates = append(candidates, pick.Candidate{
 			ServerStats: &st.ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
 		})
