Retry a failed renewal of the lead after 40 ms, later ones after 0.2 s

Each new leader waits until the grants of the earlier one have ended, some 4.9 s, before it gives away the keys of a lost server. A change late in the seven seconds of lost answers leaves these keys unserved beyond the 3 s that the test waits.

Change: the first six pauses are 40 ms, further ones 0.2 s, which asks less of a store that is away. The test also logs what failed and what the instances decided, in order of time, as the counts alone did not tell whose fault it was.

--- a/internal/place/coord/coord_test.go
+++ b/internal/place/coord/coord_test.go
@@ -412,11 +412,17 @@
 	store.checkResigned(t)
 }
 
-// Guards against a lead that another instance claims because two appends failed: it is claimed when it was not renewed for 1.6 s. Each
+// Guards against a lead that another instance claims because some appends failed: it is claimed when it was not renewed for 1.6 s. Each
 // claim cost the keys of a lost server five seconds, while a third of the appends failed (TestStoreLosesAnswers).
 func TestRenewalRetriedSoon(t *testing.T) {
+	for _, failures := range []int{2, 5} {
+		t.Run(fmt.Sprint(failures), func(t *testing.T) { testRenewalRetried(t, failures) })
+	}
+}
+
+func testRenewalRetried(t *testing.T, failures int) {
 	const claimedAfter = 1600 * time.Millisecond
-	store := &fakeLog{appendTime: 20 * time.Millisecond, failures: 2}
+	store := &fakeLog{appendTime: 20 * time.Millisecond, failures: failures}
 	_, stop := runLeader(t, store)
 	time.Sleep(4 * time.Second)
 	stop()
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -196,7 +196,7 @@
 	end, _ := c.book.End(keyed.Place)
 	rewrite := keyed.Era(end) != c.leader.recordedEra
 	dirty = dirty || rewrite
-	if c.appending || !dirty && !c.leadership.RenewalDue(now) || now.Sub(c.leader.lastAppend) < minAppendInterval {
+	if c.appending || !dirty && !c.leadership.RenewalDue(now) || !c.mayAppend(now) {
 		return
 	}
 	c.appending, c.leader.lastAppend = true, now
@@ -223,6 +223,27 @@
 	c.runInBackground(func() { c.writeRecord(l, end, next, ownerRecords, fence) })
 }
 
+// mayAppend reports whether the last append is long enough ago. c.mu is held.
+func (c *Coordinator) mayAppend(now time.Time) bool {
+	if c.leader.failedAppends > 0 {
+		return !now.Before(c.leader.retryAt)
+	}
+	return now.Sub(c.leader.lastAppend) >= minAppendInterval
+}
+
+// noteAppend notes how an append ended.
+func (l *leaderState) noteAppend(now time.Time, err error) {
+	if err == nil {
+		l.failedAppends = 0
+		return
+	}
+	l.failedAppends++
+	l.retryAt = now.Add(slowRetryDelay)
+	if l.failedAppends <= quickRetries {
+		l.retryAt = now.Add(quickRetryDelay)
+	}
+}
+
 // writeRecord appends a lead record, with owners if any, and handles the result.
 func (c *Coordinator) writeRecord(l *leaderState, at uint64, next elect.LeadRecord, ownerRecords map[string][]byte, fence uint64) {
 	start := c.cfg.Now()
@@ -240,9 +261,7 @@
 		return
 	}
 	now := c.cfg.Now()
-	if err != nil {
-		l.lastAppend = now.Add(appendRetryDelay - minAppendInterval)
-	}
+	l.noteAppend(now, err)
 	switch {
 	case err == nil:
 		next.Offset = end - 1
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -33,9 +33,11 @@
 	// minSortInterval is the least time between two sorts of the same instances, whose list takes 1.3 KB for 82. A new leader
 	// learns their data centres only from their replies.
 	minSortInterval = 2 * time.Second
-	// appendRetryDelay is the pause after a failed append: four attempts fit between RenewInterval and the age at which the lead is
-	// claimed by another instance.
-	appendRetryDelay = 150 * time.Millisecond
+	// quickRetries is the number of pauses of quickRetryDelay after failed appends: six attempts fit between RenewInterval and the
+	// age at which the lead is claimed by another instance. Later pauses, of slowRetryDelay, spare a store that is away.
+	quickRetries    = 6
+	quickRetryDelay = 40 * time.Millisecond
+	slowRetryDelay  = 200 * time.Millisecond
 	// minShareLatencies is the number of instances from which on the leader passes on answer times: fewer send to each server
 	// often enough to know its speed.
 	minShareLatencies = 24
@@ -54,13 +56,15 @@
 	permits          *quota.Arbiter
 	reach            assign.Reachability
 	plannedAt        time.Time
-	newsNumber       uint64           // rises when members must be told at once
-	maxFence         uint64           // highest fence ever used
-	recordedEra      uint64           // era of the store in which the owners were last recorded
-	sortedPeers      []string         // all instances, in order of their addresses
-	peers            []string         // the same, in the order of succession
-	sortedAt         time.Time        // when that order was last decided
-	lastAppend       time.Time        // later after a failure, to delay the next
+	newsNumber       uint64    // rises when members must be told at once
+	maxFence         uint64    // highest fence ever used
+	recordedEra      uint64    // era of the store in which the owners were last recorded
+	sortedPeers      []string  // all instances, in order of their addresses
+	peers            []string  // the same, in the order of succession
+	sortedAt         time.Time // when that order was last decided
+	lastAppend       time.Time
+	retryAt          time.Time        // when the next append may begin after one that failed
+	failedAppends    int              // since the last successful one
 	quorum           *elect.Quorum    // members that follow, unless started during this term
 	inheritedUntil   time.Time        // end of earlier leaders' grants; zero until a majority of successionQuorum follows
 	successionQuorum *elect.Quorum    // members of the earlier leader that follow this one
--- a/test/platf/platf_test.go
+++ b/test/platf/platf_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -120,9 +121,31 @@
 	ok, all := d.Served(since, prefix)
 	if all == 0 || float64(ok) < want*float64(all) {
 		d.t.Errorf("%d of %d calls of %s were served, want %.2f; the others: %v", ok, all, prefix, want, d.Failures(since, prefix))
+		d.logTimeline(since.Add(-5*time.Second), prefix)
 	}
 }
 
+// logTimeline logs the calls that failed since a time and what the instances decided meanwhile, in the order of time.
+func (d *deployment) logTimeline(since time.Time, prefix string) {
+	d.t.Helper()
+	var lines []string
+	for _, x := range d.Calls() {
+		if x.Sent.After(since) && strings.HasPrefix(x.Path, prefix) && x.Status != 200 {
+			lines = append(lines, fmt.Sprintf("%s %s key=%d got %d %s after %v", x.Sent.Format("15:04:05.000"), x.Instance, x.Key, x.Status,
+				strings.TrimSpace(x.Body), x.Done.Sub(x.Sent).Round(time.Millisecond)))
+		}
+	}
+	for _, in := range d.Instances {
+		for _, l := range in.Lines("level=warn", "event=claim", "event=leader", "event=succeeded", "event=move ", "event=lead-lost") {
+			if _, rest, ok := strings.Cut(l, "T"); ok && rest > since.UTC().Format("15:04:05.000") {
+				lines = append(lines, fmt.Sprintf("%s %s", rest[:min(len(rest), 200)], in.Name))
+			}
+		}
+	}
+	slices.Sort(lines)
+	d.t.Log(strings.Join(lines[:min(len(lines), 150)], "\n"))
+}
+
 // leader returns the instance that claimed the lead last.
 func (d *deployment) leader() *platf.Instance {
 	var last string
