Hand out ports further apart to test processes that run at once

Two copies of the tests of platf, run beside each other, got the same ports: 'listen tcp 127.0.0.1:12353: bind: address already in use' for six instances. Their ranges began 37 ports apart for successive process ids, and a fleet of 24 takes 96. They begin 7,919 apart now.

--- a/test/platf/fleet.go
+++ b/test/platf/fleet.go
@@ -118,7 +118,10 @@
 // ports are handed out below the range from which the kernel takes those of outgoing connections.
 var nextPort atomic.Uint32
 
-func init() { nextPort.Store(uint32(os.Getpid()) * 37) }
+// pidStride keeps apart the ports of test processes with successive ids, which take some hundred each.
+const pidStride = 7919
+
+func init() { nextPort.Store(uint32(os.Getpid()) * pidStride) }
 
 // freePort returns an address that no other instance of this test process gets.
 func freePort() (netip.AddrPort, error) {
