Bring our own log back to what the instances know after a restoration

Cause: offsets go back and are given out again. A reader waited until the log had grown past its own offset and then went on with other records; versions, terms and tokens are made from offsets and were given out twice.

Change: answers of the log tell of its eras and what each lost. Who reads the log itself compares, and appends lost records again at their former offsets, so that everything made from these stays as it was. The first new record of an era raises all later numbers by 65,536, as an instance that is lost by now may have acted by a record that nobody has. An instance whose records nobody appended again stops as planned.

--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -69,6 +69,8 @@
 
 	list    atomic.Pointer[roster.List]
 	leaving atomic.Bool
+	// diverged gets an error when this instance has applied records that the log has lost for good.
+	diverged chan error
 
 	mu          sync.Mutex
 	lastContact map[string]time.Time // send time of the last answered gossip call to each data centre
@@ -102,6 +104,7 @@
 	select {
 	case <-ctx.Done():
 	case err = <-serveErrors:
+	case err = <-d.diverged:
 	}
 	d.shutdown(peers)
 	stopComponents()
@@ -141,7 +144,7 @@
 		cfg: cfg, id: cfg.Instance + "/" + incarnation(), peerAddr: cfg.AdvertisedAddr,
 		log:       events.New(os.Stderr, time.Now, cfg.DebugSubsystems),
 		logClient: logsvc.New(cfg.LogAddr), listClient: roster.New(cfg.ListAddr), calls: calls.NewClient(), meter: meter.New(),
-		lastContact: make(map[string]time.Time),
+		lastContact: make(map[string]time.Time), diverged: make(chan error, 1),
 	}
 	if !d.peerAddr.IsValid() {
 		d.peerAddr = l.peer.Addr().(*net.TCPAddr).AddrPort()
@@ -166,7 +169,8 @@
 func (d *daemon) foldsConfig() folds.Config {
 	log := d.log.For("plat")
 	return folds.Config{
-		Read: d.logClient.Read, Append: d.logClient.Append,
+		Read: d.logClient.Read, Append: d.logClient.Append, AppendAt: d.logClient.AppendAt,
+		OnEra: d.logClient.NoteEntered, OnDiverged: d.stopDiverged,
 		Peers: d.statePeers, Relays: d.relays, Fallbacks: d.fallbacks,
 		NeedsContact:    d.needsLogContact,
 		WritesSnapshots: func() bool { return d.driver.IsController() },
@@ -176,6 +180,15 @@
 	}
 }
 
+// stopDiverged makes this instance stop as planned: the others have gone on without records of the log that it has acted by. A new
+// process begins with what the log holds now.
+func (d *daemon) stopDiverged(stream string, offset uint64) {
+	select {
+	case d.diverged <- errors.Newf("stream %q was restored and differs from offset %d on from what this instance has applied", stream, offset):
+	default:
+	}
+}
+
 func (d *daemon) driverConfig() drive.Config {
 	client := grants.New()
 	return drive.Config{
--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -33,6 +33,12 @@
 type Config struct {
 	Read   func(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (logsvc.Batch, error)
 	Append func(ctx context.Context, stream string, data []byte) (uint64, error)
+	// AppendAt appends a record that the log has lost, if it gets its former offset.
+	AppendAt func(ctx context.Context, stream string, offset uint64, data []byte) error
+	// OnEra is called for each record of a stream that begins an era of the log.
+	OnEra func(stream string, number uint64)
+	// OnDiverged is called when other instances have gone on without records that this one has applied.
+	OnDiverged func(stream string, offset uint64)
 	// Peers returns the instances to ask for their state.
 	Peers func() []Peer
 	// Relays returns the instances to read streams from, in order of preference.
@@ -89,7 +95,7 @@
 // New returns Folds that stay empty until Run is called.
 func New(cfg Config) *Folds {
 	f := &Folds{Config: cfg, config: &followedStream{name: ConfigStream}, place: &followedStream{name: PlaceStream}}
-	f.ledger = relay.New(0, f.tailConfig(LedgerStream, f.Config.OnLedgerRecord, func(_ context.Context, first uint64) (uint64, error) {
+	f.ledger = relay.New(0, f.tailConfig(LedgerStream, 0, f.Config.OnLedgerRecord, func(_ context.Context, first uint64) (uint64, error) {
 		return first - 1, nil
 	}))
 	return f
@@ -165,7 +171,7 @@
 	s.mu.Unlock()
 	f.LogEvent("state-loaded", "stream", s.name, "offset", asof)
 	deliver := func(offset uint64, data []byte) { f.applyRecord(s, offset, data) }
-	tail := relay.New(asof, f.tailConfig(s.name, deliver, func(ctx context.Context, first uint64) (uint64, error) {
+	tail := relay.New(asof, f.tailConfig(s.name, f.foldEra(s.name), deliver, func(ctx context.Context, first uint64) (uint64, error) {
 		f.LogEvent("records-trimmed", "stream", s.name, "first", first)
 		return origin.Resume(ctx, f.foldOffset(s.name), first)
 	}))
@@ -177,12 +183,20 @@
 }
 
 func (f *Folds) tailConfig(
-	stream string, onRecord func(uint64, []byte), adoptState func(context.Context, uint64) (uint64, error),
+	stream string, era uint64, onRecord func(uint64, []byte), adoptState func(context.Context, uint64) (uint64, error),
 ) relay.Config {
 	return relay.Config{
-		Sources:      func() []relay.Source { return f.streamSources(stream) },
-		Deliver:      onRecord,
-		AdoptState:   adoptState,
+		Sources:    func() []relay.Source { return f.streamSources(stream) },
+		Deliver:    onRecord,
+		AdoptState: adoptState,
+		AppendAgain: func(ctx context.Context, offset uint64, data []byte) error {
+			err := f.AppendAt(ctx, stream, offset, data)
+			f.LogEvent("appended-again", "stream", stream, "offset", offset, "error", err)
+			return err
+		},
+		OnDiverged:   func(offset uint64) { f.OnDiverged(stream, offset) },
+		OnEra:        func(number uint64) { f.OnEra(stream, number) },
+		Era:          era,
 		Now:          time.Now,
 		NeedsContact: f.NeedsContact,
 		OnFailure: func(source string, err error) {
@@ -204,6 +218,15 @@
 	return f.placement.Offset()
 }
 
+func (f *Folds) foldEra(stream string) uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if stream == ConfigStream {
+		return f.tables.Era()
+	}
+	return f.placement.Era()
+}
+
 func (f *Folds) applyRecord(s *followedStream, offset uint64, data []byte) {
 	rec := fold.Decode(data)
 	if rec == nil {
@@ -235,13 +258,14 @@
 		return err
 	}
 	f.mu.Lock()
-	outcome := f.tables.Apply(offset, rec, valid)
+	outcome, version := f.tables.Apply(offset, rec, valid), f.tables.Version
 	f.mu.Unlock()
-	if p := rec.GetPublish(); p != nil {
-		f.LogEvent("publication", "version", offset, "base", p.GetBase(), "outcome", outcome.String())
+	p := rec.GetPublish()
+	if p != nil {
+		f.LogEvent("publication", "offset", offset, "base", p.GetBase(), "outcome", outcome.String())
 	}
-	if outcome == fold.Applied {
-		f.OnTables(offset, parsed)
+	if p != nil && outcome == fold.Applied {
+		f.OnTables(version, parsed)
 	}
 }
 
--- /dev/null
+++ b/internal/peer/relay/recover.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleycove/bramleycove/internal/place/fold"
+	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
+)
+
+var (
+	errDiverged = errors.New("the log was restored and holds other records than were delivered")
+	errLost     = errors.New("the log was restored and lacks records that are not kept here")
+)
+
+// eraTag is the first byte of an encoded Record with an Era: number 12, length-delimited.
+const eraTag = 12<<3 | 2
+
+// eraOf returns the era that a record begins, 0 for other records.
+func eraOf(data []byte) uint64 {
+	if len(data) == 0 || data[0] != eraTag {
+		return 0
+	}
+	return fold.Decode(data).GetEra().GetNumber()
+}
+
+// firstLost returns the lowest offset at which the log lost records since an era, and the newest era. Without one, lost is 0.
+func firstLost(eras []logsvc.Era, since uint64) (lost, newest uint64) {
+	newest = since
+	for _, e := range eras {
+		if e.Number <= since {
+			continue
+		}
+		newest = max(newest, e.Number)
+		if lost == 0 || e.First < lost {
+			lost = e.First
+		}
+	}
+	return lost, newest
+}
+
+// checkEras compares what was delivered with a log that was restored since the tail last read it, and appends again what the log
+// has lost. eras are those of an answer of src. An error means that the answer must not be used.
+func (t *Tail) checkEras(ctx context.Context, src Source, eras []logsvc.Era) error {
+	lost, newest := firstLost(eras, t.era)
+	want := t.Offset() + 1
+	if newest == t.era || want <= lost {
+		t.era = newest
+		return nil
+	}
+	next, err := t.compare(ctx, src, lost, want)
+	if err != nil {
+		return err
+	}
+	for ; next < want; next++ {
+		data, ok := t.keptRecord(next)
+		if !ok || t.cfg.AppendAgain == nil {
+			return errLost
+		}
+		if err := t.cfg.AppendAgain(ctx, next, data); err != nil {
+			return errors.Wrapf(err, "append record %d again", next)
+		}
+	}
+	t.era = newest
+	return nil
+}
+
+// compare checks the records of the log from offset from on against those delivered before offset until. It returns the first offset
+// that the log does not hold, or until.
+func (t *Tail) compare(ctx context.Context, src Source, from, until uint64) (next uint64, err error) {
+	for from < until {
+		batch, err := src.Read(ctx, from, 0, readLimit)
+		if err != nil {
+			return 0, err
+		}
+		for _, rec := range batch.Records {
+			if rec.Offset >= until {
+				return until, nil
+			}
+			mine, kept := t.keptRecord(rec.Offset)
+			// New records come after those that were appended again, and the first of them begins the era.
+			if eraOf(rec.Data) > t.era || kept && !bytes.Equal(mine, stripSnapshotState(rec.Data)) {
+				if t.cfg.OnDiverged != nil {
+					t.cfg.OnDiverged(rec.Offset)
+				}
+				return 0, errDiverged
+			}
+			from = rec.Offset + 1
+		}
+		if from = max(from, batch.First); len(batch.Records) == 0 && from >= batch.Next {
+			break
+		}
+	}
+	return min(from, until), nil
+}
+
+// keptRecord returns the record at offset if the tail still has it.
+func (t *Tail) keptRecord(offset uint64) ([]byte, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := t.buffer.firstOffset()
+	if offset < first || offset >= t.buffer.nextOffset {
+		return nil, false
+	}
+	return t.buffer.records[offset-first].Data, true
+}
--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -54,6 +54,15 @@
 	// NeedsContact reports whether LastContact must be recent even while records come from a relay, for example for a
 	// pool that is released without contact. May be nil.
 	NeedsContact func() bool
+	// AppendAgain appends a record that the log has lost, if it gets its former offset. May be nil.
+	AppendAgain func(ctx context.Context, offset uint64, data []byte) error
+	// OnDiverged is called when the log was restored and new records were appended at offsets of delivered ones, from offset on.
+	// May be nil.
+	OnDiverged func(offset uint64)
+	// OnEra is called for each record that begins an era. May be nil.
+	OnEra func(number uint64)
+	// Era is the newest era whose record the tail's state covers.
+	Era uint64
 	// OnFailure is called for each failed read. May be nil.
 	OnFailure func(source string, err error)
 	// Seed seeds the jitter of the retry pauses.
@@ -66,6 +75,7 @@
 	rnd           *rand.Rand
 	health        map[string]*sourceHealth // used by Run alone
 	relaysFirst   uint64                   // oldest offset kept by relays that lacked records since the last success, 0 if none
+	era           uint64                   // newest era of the log in which it is known to hold what was delivered; used by Run alone
 	probeRequests chan struct{}
 
 	mu             sync.Mutex
@@ -87,7 +97,7 @@
 // New returns a tail that starts with the record after offset.
 func New(offset uint64, cfg Config) *Tail {
 	return &Tail{
-		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), health: make(map[string]*sourceHealth),
+		cfg: cfg, era: cfg.Era, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), health: make(map[string]*sourceHealth),
 		probeRequests: make(chan struct{}, 1), recordArrived: make(chan struct{}), buffer: recordBuffer{nextOffset: offset + 1},
 	}
 }
@@ -170,6 +180,9 @@
 	defer cancel()
 	sent := t.cfg.Now()
 	batch, err := src.Read(rctx, want, wait, readLimit)
+	if err == nil && src.IsLog {
+		err = t.checkEras(rctx, src, batch.Eras)
+	}
 	switch {
 	case err != nil && src.IsLog && t.relaysFirst > want:
 		// The log is down and the relays have dropped the wanted records, so a state has to replace them.
@@ -214,6 +227,12 @@
 		if rec.Offset > want {
 			return errMissingRecords
 		}
+		if era := eraOf(rec.Data); era > 0 {
+			t.era = max(t.era, era)
+			if t.cfg.OnEra != nil {
+				t.cfg.OnEra(era)
+			}
+		}
 		t.cfg.Deliver(rec.Offset, rec.Data)
 		t.bufferRecord(logsvc.Record{Offset: rec.Offset, Data: stripSnapshotState(rec.Data)})
 		want++
--- a/internal/place/fold/config.go
+++ b/internal/place/fold/config.go
@@ -10,7 +10,7 @@
 
 // Publication is one accepted version of the tables.
 type Publication struct {
-	Version uint64 // offset of the Publish record
+	Version uint64 // number of the Publish record
 	ID      string
 	Routes  []byte
 	Pools   []byte
@@ -37,7 +37,9 @@
 	}
 	switch kind := rec.GetKind().(type) {
 	case *record.Record_Publish:
-		return c.applyPublish(offset, kind.Publish, valid)
+		return c.applyPublish(c.number(offset), kind.Publish, valid)
+	case *record.Record_Era:
+		return c.beginEra(kind.Era)
 	case *record.Record_Snapshot:
 		return Ignored
 	default:
@@ -45,7 +47,7 @@
 	}
 }
 
-func (c *Config) applyPublish(offset uint64, p *record.Publish, valid func(routes, pools []byte) error) Outcome {
+func (c *Config) applyPublish(version uint64, p *record.Publish, valid func(routes, pools []byte) error) Outcome {
 	if _, ok := c.AcceptedVersion(p.GetId()); ok {
 		return Seen
 	}
@@ -55,8 +57,8 @@
 	if p.GetId() == "" || valid != nil && valid(p.GetRoutes(), p.GetPools()) != nil {
 		return Invalid
 	}
-	c.Publication = Publication{Version: offset, ID: p.GetId(), Routes: p.GetRoutes(), Pools: p.GetPools()}
-	c.addRecent(p.GetId(), offset)
+	c.Publication = Publication{Version: version, ID: p.GetId(), Routes: p.GetRoutes(), Pools: p.GetPools()}
+	c.addRecent(p.GetId(), version)
 	return Applied
 }
 
@@ -79,7 +81,7 @@
 
 // State returns the state for a snapshot.
 func (c *Config) State() *record.Config {
-	s := &record.Config{Version: c.Version, Id: c.ID, Routes: c.Routes, Pools: c.Pools}
+	s := &record.Config{Version: c.Version, Id: c.ID, Routes: c.Routes, Pools: c.Pools, Era: c.era}
 	for _, a := range c.recentAccepted {
 		s.Recent = append(s.Recent, a.id)
 		s.Versions = append(s.Versions, a.version)
@@ -90,7 +92,7 @@
 // Restore replaces the state by s, the state after the record at asof. It reports false, and changes nothing, if later
 // records were already applied, if s is nil or damaged, or if its version is lower than the present one.
 func (c *Config) Restore(asof uint64, s *record.Config) bool {
-	if s == nil || s.GetVersion() > asof || s.GetVersion() < c.Version || !c.skipTo(asof) {
+	if s == nil || s.GetVersion() < c.Version || !c.restoreCursor(asof, s.GetEra(), s.GetVersion()) {
 		return false
 	}
 	c.Publication = Publication{Version: s.GetVersion(), ID: s.GetId(), Routes: s.GetRoutes(), Pools: s.GetPools()}
--- a/internal/place/fold/fold.go
+++ b/internal/place/fold/fold.go
@@ -35,11 +35,34 @@
 // cursor is the position of a fold in its stream.
 type cursor struct {
 	offset uint64
+	era    uint64 // of the records read so far: how often the log was restored from an older copy
 }
 
+// eraGap is how much the numbers made from offsets rise with each era. A restoration loses fewer records, so that no number is
+// given out twice, though an instance may have acted by a record that is lost.
+const eraGap = 1 << 16
+
+// number returns what identifies the record at offset, for versions, terms and tokens.
+func (c *cursor) number(offset uint64) uint64 { return offset + c.era*eraGap }
+
+// beginEra applies a record of that kind.
+func (c *cursor) beginEra(e *record.Era) Outcome {
+	if e.GetNumber() <= c.era || e.GetNumber() > maxEra {
+		return Stale
+	}
+	c.era = e.GetNumber()
+	return Applied
+}
+
+// maxEra keeps numbers far from the bounds of tokens and revisions, which hold further bits below them.
+const maxEra = 1 << 16
+
 // Offset returns the offset of the last record applied, 0 before the first.
 func (c *cursor) Offset() uint64 { return c.offset }
 
+// Era returns the newest era that a record applied has begun.
+func (c *cursor) Era() uint64 { return c.era }
+
 func (c *cursor) advance(offset uint64) bool {
 	if offset <= c.offset {
 		return false
@@ -56,6 +79,17 @@
 	return true
 }
 
+// restoreCursor moves to the state after the record at asof, whose highest number is highest. It reports false, and changes
+// nothing, if such a state is impossible or older than this one.
+func (c *cursor) restoreCursor(asof, era, highest uint64) bool {
+	next := cursor{offset: asof, era: era}
+	if era < c.era || era > maxEra || highest > next.number(asof) || !c.skipTo(asof) {
+		return false
+	}
+	c.era = era
+	return true
+}
+
 // Decode parses one record of a stream. It returns nil for bytes that are not a record; Apply ignores those.
 func Decode(data []byte) *record.Record {
 	rec := new(record.Record)
--- a/internal/place/fold/place.go
+++ b/internal/place/fold/place.go
@@ -11,9 +11,9 @@
 // tokenShift leaves bits below the log offset for the epoch and sequence number of moves made without the log.
 const tokenShift = 16
 
-// TokenFor returns the fencing token of an assignment recorded at offset. Moves of the slot without an append use its
-// low bits: 4 for the epoch, 12 for a sequence number.
-func TokenFor(offset uint64) uint64 { return offset << tokenShift }
+// TokenFor returns the fencing token of the assignment whose record has a number, the record's offset unless the log was
+// restored. Moves of the slot without an append use its low bits: 4 for the epoch, 12 for a sequence number.
+func TokenFor(number uint64) uint64 { return number << tokenShift }
 
 // Slot is the assignment of one slot. The zero value is a slot that was never assigned.
 type Slot struct {
@@ -24,7 +24,7 @@
 
 // Cell is the control state of one data centre.
 type Cell struct {
-	Term             uint64 // offset of the Term record, 0 if none
+	Term             uint64 // number of the Term record, 0 if none
 	Holder           string
 	Successors       []string
 	Witnesses        []string
@@ -81,21 +81,23 @@
 	}
 	switch kind := rec.GetKind().(type) {
 	case *record.Record_Term:
-		return p.applyTerm(offset, kind.Term)
+		return p.applyTerm(p.number(offset), kind.Term)
 	case *record.Record_Ready:
 		return p.applyReady(kind.Ready)
 	case *record.Record_Assign:
-		return p.applyAssign(offset, kind.Assign)
+		return p.applyAssign(p.number(offset), kind.Assign)
 	case *record.Record_Release:
-		return p.applyRelease(offset, kind.Release)
+		return p.applyRelease(p.number(offset), kind.Release)
 	case *record.Record_Seize:
-		return p.applySeize(offset, kind.Seize)
+		return p.applySeize(p.number(offset), kind.Seize)
+	case *record.Record_Era:
+		return p.beginEra(kind.Era)
 	default:
 		return Ignored
 	}
 }
 
-func (p *Placement) applyTerm(offset uint64, t *record.Term) Outcome {
+func (p *Placement) applyTerm(number uint64, t *record.Term) Outcome {
 	if t.GetDc() == "" || t.GetHolder() == "" || len(t.GetWitnesses()) == 0 {
 		return Invalid
 	}
@@ -114,7 +116,7 @@
 		p.cells = make(map[string]*Cell)
 	}
 	p.cells[t.GetDc()] = &Cell{
-		Term: offset, Holder: t.GetHolder(), Successors: t.GetSuccessors(), Witnesses: t.GetWitnesses(), EarlierWitnesses: earlier,
+		Term: number, Holder: t.GetHolder(), Successors: t.GetSuccessors(), Witnesses: t.GetWitnesses(), EarlierWitnesses: earlier,
 	}
 	return Applied
 }
@@ -142,7 +144,7 @@
 	return Applied
 }
 
-func (p *Placement) applyAssign(offset uint64, a *record.Assign) Outcome {
+func (p *Placement) applyAssign(number uint64, a *record.Assign) Outcome {
 	if out := p.checkCurrent(a.GetDc(), a.GetPool(), a.GetTerm(), a.GetBase()); out != Applied {
 		return out
 	}
@@ -160,12 +162,12 @@
 		return Invalid
 	}
 	for _, ch := range a.GetChanges() {
-		if !applyChange(slots, ch, a.GetDc(), offset) {
+		if !applyChange(slots, ch, a.GetDc(), number) {
 			return Invalid
 		}
 	}
 	p.setSlots(a.GetPool(), slots)
-	p.setPoolDC(a.GetPool(), a.GetDc(), poolDCState{offset, time.Duration(a.GetYield()) * time.Millisecond})
+	p.setPoolDC(a.GetPool(), a.GetDc(), poolDCState{number, time.Duration(a.GetYield()) * time.Millisecond})
 	return Applied
 }
 
@@ -179,11 +181,11 @@
 
 // applyChange applies ch to slots. It reports false if ch has no owner, exceeds the slots, affects one with another home,
 // would not raise a token, or names a token that later records of the slot could not exceed.
-func applyChange(slots []Slot, ch *record.Change, dc string, offset uint64) bool {
-	if ch.GetOwner() == "" || ch.GetFirst() > ch.GetLast() || int(ch.GetLast()) >= len(slots) || ch.GetToken() >= TokenFor(offset) {
+func applyChange(slots []Slot, ch *record.Change, dc string, number uint64) bool {
+	if ch.GetOwner() == "" || ch.GetFirst() > ch.GetLast() || int(ch.GetLast()) >= len(slots) || ch.GetToken() >= TokenFor(number) {
 		return false
 	}
-	next := Slot{DC: dc, Owner: ch.GetOwner(), Token: changeToken(ch, offset)}
+	next := Slot{DC: dc, Owner: ch.GetOwner(), Token: changeToken(ch, number)}
 	for i := ch.GetFirst(); i <= ch.GetLast(); i++ {
 		if home := slots[i].DC; (home != "" && home != dc) || slots[i].Token >= next.Token {
 			return false
@@ -193,14 +195,14 @@
 	return true
 }
 
-func changeToken(ch *record.Change, offset uint64) uint64 {
+func changeToken(ch *record.Change, number uint64) uint64 {
 	if ch.GetToken() != 0 {
 		return ch.GetToken()
 	}
-	return TokenFor(offset)
+	return TokenFor(number)
 }
 
-func (p *Placement) applyRelease(offset uint64, r *record.Release) Outcome {
+func (p *Placement) applyRelease(number uint64, r *record.Release) Outcome {
 	if out := p.checkCurrent(r.GetDc(), r.GetPool(), r.GetTerm(), r.GetBase()); out != Applied {
 		return out
 	}
@@ -212,11 +214,11 @@
 		slots[i] = Slot{Token: slots[i].Token}
 	}
 	p.setSlots(r.GetPool(), slots)
-	p.setPoolDC(r.GetPool(), r.GetDc(), poolDCState{offset, p.YieldAfter(r.GetPool(), r.GetDc())})
+	p.setPoolDC(r.GetPool(), r.GetDc(), poolDCState{number, p.YieldAfter(r.GetPool(), r.GetDc())})
 	return Applied
 }
 
-func (p *Placement) applySeize(offset uint64, s *record.Seize) Outcome {
+func (p *Placement) applySeize(number uint64, s *record.Seize) Outcome {
 	fromState := p.poolDCs[poolDC{s.GetPool(), s.GetFrom()}]
 	c := p.cells[s.GetDc()]
 	if c == nil || c.Term != s.GetTerm() || fromState.version != s.GetBase() {
@@ -229,12 +231,12 @@
 	for i := range slots {
 		if slots[i].DC == s.GetFrom() {
 			// There is no owner yet: the new home must wait before it assigns one.
-			slots[i] = Slot{DC: s.GetDc(), Token: TokenFor(offset)}
+			slots[i] = Slot{DC: s.GetDc(), Token: TokenFor(number)}
 		}
 	}
 	p.setSlots(s.GetPool(), slots)
-	p.setPoolDC(s.GetPool(), s.GetDc(), poolDCState{offset, p.YieldAfter(s.GetPool(), s.GetDc())})
-	p.setPoolDC(s.GetPool(), s.GetFrom(), poolDCState{offset, fromState.yieldAfter})
+	p.setPoolDC(s.GetPool(), s.GetDc(), poolDCState{number, p.YieldAfter(s.GetPool(), s.GetDc())})
+	p.setPoolDC(s.GetPool(), s.GetFrom(), poolDCState{number, fromState.yieldAfter})
 	return Applied
 }
 
--- a/internal/place/fold/state.go
+++ b/internal/place/fold/state.go
@@ -11,7 +11,7 @@
 
 // State returns the state for a snapshot. Equal states yield equal messages.
 func (p *Placement) State() *record.Place {
-	s := new(record.Place)
+	s := &record.Place{Era: p.era}
 	for _, dc := range p.DCs() {
 		s.Cells = append(s.Cells, cellRecord(dc, p.cells[dc]))
 	}
@@ -69,31 +69,33 @@
 // records were already applied or if s is nil, damaged or older than the present state.
 func (p *Placement) Restore(asof uint64, s *record.Place) bool {
 	next := Placement{cells: make(map[string]*Cell), pools: make(map[string][]Slot), poolDCs: make(map[poolDC]poolDCState)}
-	if s == nil || !next.load(asof, s) || !next.follows(p) || !p.skipTo(asof) {
+	next.offset, next.era = asof, s.GetEra()
+	highest := next.number(asof)
+	if s == nil || !next.load(highest, s) || !next.follows(p) || !p.restoreCursor(asof, s.GetEra(), highest) {
 		return false
 	}
 	p.cells, p.pools, p.poolDCs = next.cells, next.pools, next.poolDCs
 	return true
 }
 
-// load fills p from s. It reports false if the records up to asof cannot have produced s.
-func (p *Placement) load(asof uint64, s *record.Place) bool {
+// load fills p from s. It reports false if records up to the one numbered highest cannot have produced s.
+func (p *Placement) load(highest uint64, s *record.Place) bool {
 	for _, c := range s.GetCells() {
-		if c.GetTerm() == 0 || c.GetTerm() > asof {
+		if c.GetTerm() == 0 || c.GetTerm() > highest {
 			return false
 		}
 		p.cells[c.GetDc()] = loadCell(c)
 	}
 	total := 0
 	for _, pool := range s.GetPools() {
-		slots, ok := expandRuns(pool.GetRuns(), asof, maxTotalSlots-total)
+		slots, ok := expandRuns(pool.GetRuns(), highest, maxTotalSlots-total)
 		if !ok {
 			return false
 		}
 		total += len(slots)
 		p.pools[pool.GetName()] = slots
 		for _, v := range pool.GetVersions() {
-			if v.GetVersion() > asof || v.GetYield() < 0 || v.GetYield() > maxYieldMillis {
+			if v.GetVersion() > highest || v.GetYield() < 0 || v.GetYield() > maxYieldMillis {
 				return false
 			}
 			p.poolDCs[poolDC{pool.GetName(), v.GetDc()}] = poolDCState{
@@ -145,8 +147,8 @@
 }
 
 // expandRuns returns the slots that runs describe. It reports false if these exceed limit, if the runs have gaps or
-// overlap, or if a token is above that of a record at asof.
-func expandRuns(runs []*record.Run, asof uint64, limit int) ([]Slot, bool) {
+// overlap, or if a token is above that of the record numbered highest.
+func expandRuns(runs []*record.Run, highest uint64, limit int) ([]Slot, bool) {
 	if len(runs) == 0 {
 		return nil, true
 	}
@@ -156,7 +158,7 @@
 	}
 	slots := make([]Slot, 0, n+1)
 	for _, r := range runs {
-		if int(r.GetFirst()) != len(slots) || r.GetLast() < r.GetFirst() || r.GetLast() > n || r.GetToken() > TokenFor(asof) {
+		if int(r.GetFirst()) != len(slots) || r.GetLast() < r.GetFirst() || r.GetLast() > n || r.GetToken() > TokenFor(highest) {
 			return nil, false
 		}
 		for range r.GetLast() - r.GetFirst() + 1 {
--- a/internal/plat/logsvc/logsvc.go
+++ b/internal/plat/logsvc/logsvc.go
@@ -36,12 +36,15 @@
 	First   uint64   `json:"first"`
 	Next    uint64   `json:"next"`
 	Records []Record `json:"records"`
+	// Eras are the restorations of the log that the answer tells of, oldest first.
+	Eras []Era `json:"-"`
 }
 
 // Client calls one log service. It is safe for concurrent use.
 type Client struct {
 	baseURL string
 	http    *fasthttp.Client
+	eraState
 }
 
 // connectTimeout bounds the time to open a connection, so that an unreachable service is noticed within a
@@ -61,12 +64,32 @@
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // Append adds data to the stream and returns its offset. After an error other than *StatusError the append may have
-// taken effect.
+// taken effect. In a new era of the log it begins once other instances have had time to append again what was lost.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	for {
+		era, err := c.enterEra(ctx, stream)
+		if err != nil {
+			return 0, err
+		}
+		offset, err := c.appendIn(ctx, stream, data, era, 0)
+		if err == nil || c.currentEra() == era {
+			return offset, err
+		}
+	}
+}
+
+// AppendAt appends a record again that the log has lost, if it gets its former offset.
+func (c *Client) AppendAt(ctx context.Context, stream string, offset uint64, data []byte) error {
+	_, err := c.appendIn(ctx, stream, data, c.currentEra(), offset)
+	return err
+}
+
+// appendIn appends if the log is in an era and, unless offset is 0, if the record gets that offset.
+func (c *Client) appendIn(ctx context.Context, stream string, data []byte, era, offset uint64) (uint64, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer release(req, resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI(c.baseURL + stream + "/records")
+	req.SetRequestURI(fmt.Sprintf("%s%s/records?era=%d&at=%d", c.baseURL, stream, era, offset))
 	req.SetBody(data)
 	if err := c.call(ctx, stream, req, resp); err != nil {
 		return 0, err
@@ -93,6 +116,7 @@
 	if err := c.call(ctx, stream, req, resp); err != nil {
 		return out, err
 	}
+	out.Eras = c.noteEras(time.Now(), resp)
 	return out, json.Unmarshal(resp.Body(), &out)
 }
 
@@ -111,6 +135,7 @@
 		return err
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		c.noteEras(time.Now(), resp)
 		return &StatusError{Stream: stream, Status: status}
 	}
 	return nil
--- a/internal/stand/logsrv/logsrv.go
+++ b/internal/stand/logsrv/logsrv.go
@@ -3,6 +3,9 @@
 package logsrv
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +51,8 @@
 type Command struct {
 	faults.Fault
 	Trim *Trim `json:"trim,omitempty"`
+	// Restore is the age, in milliseconds, of the copy from which the service is restored.
+	Restore int64 `json:"restore,omitempty"`
 }
 
 // Trim drops the records of a stream below an offset.
@@ -87,7 +92,12 @@
 		time.Sleep(wait)
 	}
 	body := c.Body()
-	offset := s.store.append(time.Now(), c.Params("stream"), body)
+	want := condition{era: uint64(c.QueryInt("era")), at: uint64(c.QueryInt("at"))}
+	offset, ok := s.store.append(time.Now(), c.Params("stream"), body, want)
+	s.setEras(c)
+	if !ok {
+		return c.SendStatus(fiber.StatusConflict)
+	}
 	s.counts.appends.Add(1)
 	s.counts.in.Add(int64(len(body)))
 	if mode == faults.Lost {
@@ -108,7 +118,7 @@
 		mood := s.NextChange()
 		now := time.Now()
 		batch, more := s.store.read(now, c.Params("stream"), from, limit)
-		if len(batch.Records) > 0 || !now.Before(deadline) || from < batch.First {
+		if len(batch.Records) > 0 || !now.Before(deadline) || from < batch.First || from > batch.Next {
 			return s.answer(c, mode, batch)
 		}
 		timer := time.NewTimer(deadline.Sub(now))
@@ -121,12 +131,27 @@
 	}
 }
 
+// setEras tells how often the service was restored, and what the stream lost each time.
+func (s *Server) setEras(c *fiber.Ctx) {
+	eras, age := s.store.erasOf(time.Now(), c.Params("stream"))
+	if len(eras) == 0 {
+		return
+	}
+	var list []string
+	for _, e := range eras {
+		list = append(list, fmt.Sprintf("%d=%d", e.number, e.first))
+	}
+	c.Set("Log-Eras", strings.Join(list, ","))
+	c.Set("Log-Era-Age", strconv.FormatInt(age.Milliseconds(), 10))
+}
+
 func (s *Server) answer(c *fiber.Ctx, mode faults.Mode, batch Batch) error {
 	s.counts.reads.Add(1)
 	if mode == faults.Lost {
 		faults.ResetConnection(c)
 		return nil
 	}
+	s.setEras(c)
 	err := c.JSON(batch)
 	s.counts.out.Add(int64(len(c.Response().Body())))
 	return err
@@ -140,6 +165,9 @@
 	if cmd.Trim != nil {
 		s.store.trim(cmd.Trim.Stream, cmd.Trim.Below)
 	}
+	if cmd.Restore > 0 {
+		s.Restore(time.Now(), time.Duration(cmd.Restore)*time.Millisecond)
+	}
 	if cmd.Mode != "" {
 		if err := s.SetFault(cmd.Fault); err != nil {
 			return fiber.NewError(fiber.StatusBadRequest, err.Error())
@@ -148,6 +176,9 @@
 	return c.JSON(s.Counts())
 }
 
+// Restore replaces all records by a copy of some time ago: offsets go back and are given out again.
+func (s *Server) Restore(now time.Time, ago time.Duration) { s.store.restore(now, ago) }
+
 // Counts returns what the service has done so far.
 func (s *Server) Counts() Counts {
 	return Counts{
--- a/internal/stand/logsrv/store.go
+++ b/internal/stand/logsrv/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,6 +13,11 @@
 	Data   []byte `json:"data"`
 }
 
+// era is a restoration from an older copy. A stream has lost what it held from offset First on.
+type era struct {
+	number, first uint64
+}
+
 // Batch is the answer to a read. First is the oldest retained offset, and equals Next when nothing is retained.
 type Batch struct {
 	First   uint64   `json:"first"`
@@ -27,7 +33,8 @@
 type stream struct {
 	first   uint64 // offset of entries[0]
 	entries []entry
-	changed chan struct{} // closed at the next append
+	changed chan struct{} // closed at the next append or restoration
+	eras    []era         // oldest first
 }
 
 // store holds all streams. keep and age bound the records retained of each stream; 0 means no bound.
@@ -35,29 +42,71 @@
 	keep int
 	age  time.Duration
 
-	mu      sync.Mutex
-	streams map[string]*stream
+	mu         sync.Mutex
+	streams    map[string]*stream
+	era        uint64 // number of restorations
+	restoredAt time.Time
 }
 
 func (s *store) open(name string) *stream {
 	st := s.streams[name]
 	if st == nil {
 		st = &stream{first: 1, changed: make(chan struct{})}
+		if s.era > 0 {
+			st.eras = []era{{s.era, 1}}
+		}
 		s.streams[name] = st
 	}
 	return st
 }
 
-func (s *store) append(now time.Time, name string, data []byte) uint64 {
+// condition is what an append requires. at is the offset that the record must get, 0 for any.
+type condition struct {
+	era, at uint64
+}
+
+// append adds a record if the condition holds.
+func (s *store) append(now time.Time, name string, data []byte, c condition) (offset uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.open(name)
+	if c.era != s.era || c.at != 0 && c.at != st.next() {
+		return 0, false
+	}
 	st.entries = append(st.entries, entry{data: bytes.Clone(data), at: now})
-	offset := st.next() - 1
+	offset = st.next() - 1
 	s.retain(now, st)
+	st.wake()
+	return offset, true
+}
+
+// restore replaces all streams by a copy of some time ago and begins an era.
+func (s *store) restore(now time.Time, ago time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.restoredAt = now
+	for _, st := range s.streams {
+		n := len(st.entries)
+		for n > 0 && now.Sub(st.entries[n-1].at) < ago {
+			n--
+		}
+		st.entries = st.entries[:n]
+		st.eras = append(st.eras, era{s.era, st.next()})
+		st.wake()
+	}
+}
+
+// erasOf returns the eras of a stream, and the age of the newest.
+func (s *store) erasOf(now time.Time, name string) ([]era, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.open(name).eras), now.Sub(s.restoredAt)
+}
+
+func (st *stream) wake() {
 	close(st.changed)
 	st.changed = make(chan struct{})
-	return offset
 }
 
 // read returns at most limit records from offset from on, and a channel that is closed at the next append.
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -289,7 +289,7 @@
 	}}
 }
 
-// log makes the log unreachable or slow, or loses answers of appends.
+// log makes the log unreachable or slow, or loses answers of appends. An unreachable one may come back from a copy some seconds old.
 func (w *world) log() fault {
 	if slices.ContainsFunc(w.active, func(f fault) bool { return strings.HasPrefix(f.name, "log") }) {
 		return fault{}
@@ -297,9 +297,13 @@
 	order := []faults.Fault{
 		{Mode: faults.Down}, {Mode: faults.Hang}, {Mode: faults.Slow, Delay: "700ms"}, {Mode: faults.Lost, Kind: "append"},
 	}[w.IntN(4)]
+	ago := int64(0) // of the copy
+	if order.Mode == faults.Down {
+		ago = int64(w.IntN(4)) * 2000
+	}
 	w.CommandLog(logsrv.Command{Fault: order})
-	return fault{fmt.Sprint("log ", order.Mode), nil, func() {
-		w.CommandLog(logsrv.Command{Fault: faults.Fault{Mode: faults.Up}})
+	return fault{fmt.Sprint("log ", order.Mode, ", copy of ", ago, " ms"), nil, func() {
+		w.CommandLog(logsrv.Command{Fault: faults.Fault{Mode: faults.Up}, Restore: ago})
 	}}
 }
 
