--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -47,6 +47,12 @@
 	return keyed.Era(end) > 0 && len(c.builder.Chunks) == 0
 }
 
+// lostOwnersMayHold reports whether servers may hold keys by owners that nobody knows any more: the store was restored to before
+// their first record, and no instance that runs has seen them. c.mu is held.
+func (c *Coordinator) lostOwnersMayHold(now time.Time) bool {
+	return c.leader.recordedEra > 0 && now.Sub(c.leader.startedAt) < grantTimeout+c.maxGrantDuration()
+}
+
 // mayHaveLostSuccessor reports whether this instance leads by a record from before the store was restored and may not act. The
 // store may have lost the claim of a successor, so that a renewal would succeed: it has to claim the lead again. c.mu is held.
 func (c *Coordinator) mayHaveLostSuccessor(now time.Time) bool {
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -175,7 +175,7 @@
 			g = new(assign.InitialDelay)
 			c.leader.gathers[p.Name] = g
 		}
-		if g.Ready(now, len(c.builder.PoolServers(p.Name))) {
+		if g.Ready(now, len(c.builder.PoolServers(p.Name))) && !c.lostOwnersMayHold(now) {
 			c.leader.keepers[p.Name] = assign.New(nil, &c.leader.maxFence, now, now)
 		}
 	}
--- a/test/platf/restored_test.go
+++ b/test/platf/restored_test.go
@@ -134,6 +134,24 @@
 	d.share(back.Add(3*time.Second), "/order/", 0.98)
 }
 
+// Guards against keys with two owners when nobody knows the earlier ones: all instances were killed, and the copy is from before the
+// first record of owners. The servers still hold their keys.
+func TestStoreRestoredToStart(t *testing.T) {
+	t.Parallel()
+	d := up(t, 4, 4)
+	d.run(8)
+	// The remaining servers get parts of the keys that a first assignment would not give them.
+	d.KillServer(d.Live("stock")[0], true)
+	time.Sleep(6 * time.Second)
+	d.kill(d.Instances...)
+	d.Store.Restore(time.Hour, 10*time.Millisecond)
+	d.restart(d.Instances...)
+	since := time.Now()
+	time.Sleep(10 * time.Second)
+	d.finish()
+	d.share(since.Add(8*time.Second), "/read/", 0.98)
+}
+
 // Guards against the same when no instance remembers anything: all were killed while the store was away.
 func TestStoreRestoredAllKilled(t *testing.T) {
 	t.Parallel()
