Name the header of a request that no caller sent

In a run of TestServerLimitShared/24 beside three runs of TestChaos and another of itself a server of the test got some 50 requests a second without a request id ('request ran on stock-2, and no caller sent it'). That they came from the other runs, whose ports the kernel gave out again, is suspected; the message shows next time.

--- a/test/platf/judge.go
+++ b/test/platf/judge.go
@@ -21,7 +21,7 @@
 	}
 	for id, rs := range runs {
 		if !known[id] {
-			faults = append(faults, fmt.Sprintf("request %s ran on %s, and no caller sent it", id, rs[0].Server))
+			faults = append(faults, fmt.Sprintf("request %s ran on %s, and no caller sent it: %q", id, rs[0].Server, rs[0].Header))
 		}
 	}
 	return append(faults, overlaps(f.Journal.Held())...)
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -15,7 +15,8 @@
 // Run is one execution of a request by a backend server.
 type Run struct {
 	Request, Server, Path string
-	Key                   int // -1 without one
+	Header                string // as the server got it
+	Key                   int    // -1 without one
 	Start                 time.Time
 }
 
@@ -386,7 +387,9 @@
 	s.loseOne = false
 	s.mu.Unlock()
 	s.Journal.mu.Lock()
-	s.Journal.runs = append(s.Journal.runs, Run{id, s.ID, string(h.RequestURI()), key, now})
+	s.Journal.runs = append(s.Journal.runs, Run{
+		Request: id, Server: s.ID, Path: string(h.RequestURI()), Header: h.Request.Header.String(), Key: key, Start: now,
+	})
 	s.Journal.mu.Unlock()
 	s.slots <- struct{}{}
 	time.Sleep(work)
