--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -29,7 +29,8 @@
 )
 
 // Guards against any broken rule of the judge, a configuration that goes back, and keys that are never served again,
-// under faults in random order and combination. CHAOS_SEED runs another seed and CHAOS_STEPS more steps.
+// under faults in random order and combination. CHAOS_SEED runs another seed and CHAOS_STEPS more steps; with CHAOS_LOG set, a
+// third of the faults are losses of the log, which comes back from an older copy.
 func TestChaos(t *testing.T) {
 	t.Parallel()
 	seeds := []uint64{1, 2, 3}
@@ -51,7 +52,7 @@
 func run(t *testing.T, seed uint64, n int) {
 	p := fleet.Plan(2, fleet.DCSize{Instances: 3, StockServers: 2, CutServers: 2, ServerArgs: []string{"--crash-body", "poison"}})
 	p.PairProxies = true
-	w := &world{T: t, System: fleet.StartSystem(t, p), Rand: rand.New(rand.NewPCG(seed, 0)), versions: map[string]uint64{}}
+	w := &world{T: t, System: fleet.StartSystem(t, p), Rand: rand.New(rand.NewPCG(seed, 0)), versions: map[string]uint64{}, logFaults: os.Getenv("CHAOS_LOG") != ""}
 	fleet.AwaitWitnesses(w.System)
 	var all []string
 	for _, in := range p.Instances {
@@ -111,6 +112,8 @@
 	*rand.Rand
 	active   []fault
 	versions map[string]uint64 // configuration in force by process
+
+	logFaults bool
 }
 
 // Fatalf is a method of two embedded types.
@@ -197,6 +200,9 @@
 
 // fault makes a random fault. Its name is empty if the one drawn is not possible now.
 func (w *world) fault() fault {
+	if w.logFaults && w.IntN(3) == 0 {
+		return w.log()
+	}
 	switch w.IntN(16) {
 	case 0, 1:
 		name, ok := w.pick(append([]string{"s1", "s2", "s3", "s4", "c1", "c3"}, instances...)...)
@@ -294,12 +300,19 @@
 	if slices.ContainsFunc(w.active, func(f fault) bool { return strings.HasPrefix(f.name, "log") }) {
 		return fault{}
 	}
+	kind := w.IntN(4)
+	if w.logFaults {
+		kind = 0
+	}
 	order := []faults.Fault{
 		{Mode: faults.Down}, {Mode: faults.Hang}, {Mode: faults.Slow, Delay: "700ms"}, {Mode: faults.Lost, Kind: "append"},
-	}[w.IntN(4)]
+	}[kind]
 	ago := int64(0) // of the copy
 	if order.Mode == faults.Down {
 		ago = int64(w.IntN(4)) * 2000
+		if w.logFaults {
+			ago += 2000
+		}
 	}
 	w.CommandLog(logsrv.Command{Fault: order})
 	return fault{fmt.Sprint("log ", order.Mode, ", copy of ", ago, " ms"), nil, func() {
