Begin an era of our own log only after lost records were appended again

The change before let any client begin the era 4 s after a restoration. Found by reading: with some thousand lost records, one call each, their appends would not be done by then, the next offset would go to a new record, and each instance that knew the rest would take the log for another one and stop.

Only a reader that has found the log to hold what it knows begins the era; all other appends are refused until the instance has read the record of the era.

--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -169,8 +169,8 @@
 func (d *daemon) foldsConfig() folds.Config {
 	log := d.log.For("plat")
 	return folds.Config{
-		Read: d.logClient.Read, Append: d.logClient.Append, AppendAt: d.logClient.AppendAt,
-		OnEra: d.logClient.NoteEntered, OnDiverged: d.stopDiverged,
+		Read: d.logClient.Read, Append: d.logClient.Append, AppendAgain: d.logClient.AppendAgain,
+		BeginEra: d.logClient.BeginEra, OnEra: d.logClient.NoteEntered, OnDiverged: d.stopDiverged,
 		Peers: d.statePeers, Relays: d.relays, Fallbacks: d.fallbacks,
 		NeedsContact:    d.needsLogContact,
 		WritesSnapshots: func() bool { return d.driver.IsController() },
--- a/internal/oper/pubsvc/publish.go
+++ b/internal/oper/pubsvc/publish.go
@@ -109,7 +109,7 @@
 	var appendErr error
 	for appended, mayHaveAppended := false, false; ; {
 		if !appended {
-			appendErr = s.appendOnce(ctx, data)
+			appendErr = s.appendOnce(ctx, cfg, data)
 			appended = appendErr == nil
 			// After any failure but a refusal, the append may have taken effect.
 			mayHaveAppended = mayHaveAppended || !isRefusal(appendErr)
@@ -134,7 +134,10 @@
 // appendTimeout bounds one attempt. If an answer is lost, reading the log shows the outcome sooner than waiting.
 const appendTimeout = 2 * time.Second
 
-func (s *Service) appendOnce(ctx context.Context, data []byte) error {
+func (s *Service) appendOnce(ctx context.Context, cfg *fold.Config, data []byte) error {
+	if s.NoteEntered != nil {
+		s.NoteEntered(configStream, cfg.Era())
+	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := s.Append(ctx, configStream, data)
--- a/internal/oper/pubsvc/pubsvc.go
+++ b/internal/oper/pubsvc/pubsvc.go
@@ -20,11 +20,13 @@
 	placeStream  = "place"
 )
 
-// Service publishes tables and reads published ones. All its fields must be set.
+// Service publishes tables and reads published ones. Its fields must be set unless they say otherwise.
 type Service struct {
 	Append func(ctx context.Context, stream string, data []byte) (uint64, error)
 	Read   func(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (logsvc.Batch, error)
 	List   func(ctx context.Context) (roster.List, error)
+	// NoteEntered notes that a stream has the record of an era of the log. Append is refused before. May be nil.
+	NoteEntered func(stream string, era uint64)
 	// Status asks the instance whose peer listener is at addr.
 	Status func(ctx context.Context, addr netip.AddrPort) (opapi.Status, error)
 	// Pause waits for d, or returns the error of ctx when ctx ends earlier.
@@ -36,7 +38,7 @@
 	client := logsvc.New(logAddr)
 	return &Service{
 		Append: client.Append,
-		Read:   client.Read,
+		Read:   client.Read, NoteEntered: client.NoteEntered,
 		List:   roster.New(list).Fetch,
 		Status: opapi.NewClient().Status,
 		Pause:  pause,
--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -33,8 +33,10 @@
 type Config struct {
 	Read   func(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (logsvc.Batch, error)
 	Append func(ctx context.Context, stream string, data []byte) (uint64, error)
-	// AppendAt appends a record that the log has lost, if it gets its former offset.
-	AppendAt func(ctx context.Context, stream string, offset uint64, data []byte) error
+	// AppendAgain appends records that the log has lost, if the first gets its former offset.
+	AppendAgain func(ctx context.Context, stream string, offset uint64, records [][]byte) error
+	// BeginEra appends the record of an era to a stream.
+	BeginEra func(ctx context.Context, stream string, number uint64) error
 	// OnEra is called for each record of a stream that begins an era of the log.
 	OnEra func(stream string, number uint64)
 	// OnDiverged is called when other instances have gone on without records that this one has applied.
@@ -169,6 +171,7 @@
 	s.mu.Lock()
 	s.schedule.NoteState(time.Now(), asof)
 	s.mu.Unlock()
+	f.OnEra(s.name, f.foldEra(s.name))
 	f.LogEvent("state-loaded", "stream", s.name, "offset", asof)
 	deliver := func(offset uint64, data []byte) { f.applyRecord(s, offset, data) }
 	tail := relay.New(asof, f.tailConfig(s.name, f.foldEra(s.name), deliver, func(ctx context.Context, first uint64) (uint64, error) {
@@ -189,11 +192,12 @@
 		Sources:    func() []relay.Source { return f.streamSources(stream) },
 		Deliver:    onRecord,
 		AdoptState: adoptState,
-		AppendAgain: func(ctx context.Context, offset uint64, data []byte) error {
-			err := f.AppendAt(ctx, stream, offset, data)
-			f.LogEvent("appended-again", "stream", stream, "offset", offset, "error", err)
+		AppendAgain: func(ctx context.Context, offset uint64, records [][]byte) error {
+			err := f.Config.AppendAgain(ctx, stream, offset, records)
+			f.LogEvent("appended-again", "stream", stream, "offset", offset, "records", len(records), "error", err)
 			return err
 		},
+		BeginEra:     func(ctx context.Context, number uint64) error { return f.Config.BeginEra(ctx, stream, number) },
 		OnDiverged:   func(offset uint64) { f.OnDiverged(stream, offset) },
 		OnEra:        func(number uint64) { f.OnEra(stream, number) },
 		Era:          era,
--- a/internal/peer/relay/recover.go
+++ b/internal/peer/relay/recover.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,14 @@
 	errLost     = errors.New("the log was restored and lacks records that are not kept here")
 )
 
+const (
+	// eraDelay is how long after a restoration no new records are appended. Readers find the log again within 3 s, the longest
+	// pause between their attempts.
+	eraDelay = 4 * time.Second
+	// recoveryTimeout bounds the comparison with a restored log and the appends of what it has lost.
+	recoveryTimeout = 10 * time.Second
+)
+
 // eraTag is the first byte of an encoded Record with an Era: number 12, length-delimited.
 const eraTag = 12<<3 | 2
 
@@ -44,6 +53,8 @@
 // checkEras compares what was delivered with a log that was restored since the tail last read it, and appends again what the log
 // has lost. eras are those of an answer of src. An error means that the answer must not be used.
 func (t *Tail) checkEras(ctx context.Context, src Source, eras []logsvc.Era) error {
+	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	defer cancel()
 	lost, newest := firstLost(eras, t.era)
 	want := t.Offset() + 1
 	if newest == t.era || want <= lost {
@@ -54,19 +65,35 @@
 	if err != nil {
 		return err
 	}
-	for ; next < want; next++ {
-		data, ok := t.keptRecord(next)
-		if !ok || t.cfg.AppendAgain == nil {
+	for next < want {
+		records := t.keptRecords(next)
+		if len(records) == 0 || t.cfg.AppendAgain == nil {
 			return errLost
 		}
-		if err := t.cfg.AppendAgain(ctx, next, data); err != nil {
-			return errors.Wrapf(err, "append record %d again", next)
+		if err := t.cfg.AppendAgain(ctx, next, records); err != nil {
+			return errors.Wrapf(err, "append %d records again from offset %d on", len(records), next)
 		}
+		next += uint64(len(records))
 	}
 	t.era = newest
 	return nil
 }
 
+// beginEra appends the record of the era in which the log was found to hold what was delivered, once other readers have had the
+// time to append again what they alone know. New records of any instance follow it.
+func (t *Tail) beginEra(ctx context.Context, age time.Duration) error {
+	if t.begunEra >= t.era || age < eraDelay || t.cfg.BeginEra == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	defer cancel()
+	if err := t.cfg.BeginEra(ctx, t.era); err != nil {
+		return errors.Wrapf(err, "begin era %d", t.era)
+	}
+	t.begunEra = t.era
+	return nil
+}
+
 // compare checks the records of the log from offset from on against those delivered before offset until. It returns the first offset
 // that the log does not hold, or until.
 func (t *Tail) compare(ctx context.Context, src Source, from, until uint64) (next uint64, err error) {
@@ -100,9 +127,19 @@
 func (t *Tail) keptRecord(offset uint64) ([]byte, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first := t.buffer.firstOffset()
-	if offset < first || offset >= t.buffer.nextOffset {
+	batch := t.buffer.readBatch(offset, 1)
+	if len(batch.Records) == 0 {
 		return nil, false
 	}
-	return t.buffer.records[offset-first].Data, true
+	return batch.Records[0].Data, true
+}
+
+// keptRecords returns records from offset on, as many as fit in a call.
+func (t *Tail) keptRecords(offset uint64) (out [][]byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, rec := range t.buffer.readBatch(offset, maxKeptRecords).Records {
+		out = append(out, rec.Data)
+	}
+	return out
 }
--- a/internal/peer/relay/restored_test.go
+++ b/internal/peer/relay/restored_test.go
@@ -51,9 +51,10 @@
 				return f.Read(ctx, "config", from, wait, limit)
 			})}
 		}
-		c.AppendAgain = func(ctx context.Context, offset uint64, data []byte) error {
-			return f.AppendAt(ctx, "config", offset, data)
+		c.AppendAgain = func(ctx context.Context, offset uint64, records [][]byte) error {
+			return f.Client.AppendAgain(ctx, "config", offset, records)
 		}
+		c.BeginEra = func(ctx context.Context, number uint64) error { return f.BeginEra(ctx, "config", number) }
 		c.OnDiverged, c.OnEra = f.diverged.Store, func(number uint64) { f.NoteEntered("config", number) }
 	})
 	return f
@@ -98,10 +99,9 @@
 	fs := []*follower{follow(t, s), follow(t, s)}
 	last := publishLost(t, fs...)
 	s.Restore(time.Now(), copyAge)
-	publisher := &follower{Client: logsvc.New(s.Address())} // knows nothing of the earlier era
-	publisher.publish(t, last)
+	fs = append(fs, follow(t, s)) // knows only what the copy holds
+	fs[2].publish(t, last)
 	acked := time.Now()
-	fs = append(fs, follow(t, s)) // has only what the log holds
 	waitUntil(t, "the new version is in force", func() bool {
 		return !slices.ContainsFunc(fs, func(f *follower) bool { return f.version() <= last })
 	})
--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -54,8 +54,10 @@
 	// NeedsContact reports whether LastContact must be recent even while records come from a relay, for example for a
 	// pool that is released without contact. May be nil.
 	NeedsContact func() bool
-	// AppendAgain appends a record that the log has lost, if it gets its former offset. May be nil.
-	AppendAgain func(ctx context.Context, offset uint64, data []byte) error
+	// AppendAgain appends records that the log has lost, if the first gets its former offset. May be nil.
+	AppendAgain func(ctx context.Context, offset uint64, records [][]byte) error
+	// BeginEra appends the record of an era. May be nil.
+	BeginEra func(ctx context.Context, number uint64) error
 	// OnDiverged is called when the log was restored and new records were appended at offsets of delivered ones, from offset on.
 	// May be nil.
 	OnDiverged func(offset uint64)
@@ -76,6 +78,7 @@
 	health        map[string]*sourceHealth // used by Run alone
 	relaysFirst   uint64                   // oldest offset kept by relays that lacked records since the last success, 0 if none
 	era           uint64                   // newest era of the log in which it is known to hold what was delivered; used by Run alone
+	begunEra      uint64                   // newest era whose record was delivered or appended; used by Run alone
 	probeRequests chan struct{}
 
 	mu             sync.Mutex
@@ -97,7 +100,7 @@
 // New returns a tail that starts with the record after offset.
 func New(offset uint64, cfg Config) *Tail {
 	return &Tail{
-		cfg: cfg, era: cfg.Era, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), health: make(map[string]*sourceHealth),
+		cfg: cfg, era: cfg.Era, begunEra: cfg.Era, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), health: make(map[string]*sourceHealth),
 		probeRequests: make(chan struct{}, 1), recordArrived: make(chan struct{}), buffer: recordBuffer{nextOffset: offset + 1},
 	}
 }
@@ -181,7 +184,10 @@
 	sent := t.cfg.Now()
 	batch, err := src.Read(rctx, want, wait, readLimit)
 	if err == nil && src.IsLog {
-		err = t.checkEras(rctx, src, batch.Eras)
+		err = t.checkEras(ctx, src, batch.Eras)
+	}
+	if err == nil && src.IsLog {
+		err = t.beginEra(ctx, batch.EraAge)
 	}
 	switch {
 	case err != nil && src.IsLog && t.relaysFirst > want:
@@ -228,7 +234,7 @@
 			return errMissingRecords
 		}
 		if era := eraOf(rec.Data); era > 0 {
-			t.era = max(t.era, era)
+			t.era, t.begunEra = max(t.era, era), max(t.begunEra, era)
 			if t.cfg.OnEra != nil {
 				t.cfg.OnEra(era)
 			}
--- a/internal/plat/logsvc/logsvc.go
+++ b/internal/plat/logsvc/logsvc.go
@@ -11,6 +11,9 @@
 
 	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleycove/bramleycove/internal/wire/record"
 )
 
 // StatusError is an answer of the log service other than success. An append that fails with it has not taken effect.
@@ -36,8 +39,9 @@
 	First   uint64   `json:"first"`
 	Next    uint64   `json:"next"`
 	Records []Record `json:"records"`
-	// Eras are the restorations of the log that the answer tells of, oldest first.
-	Eras []Era `json:"-"`
+	// Eras are the restorations of the log that the answer tells of, oldest first. EraAge is the time since the newest.
+	Eras   []Era         `json:"-"`
+	EraAge time.Duration `json:"-"`
 }
 
 // Client calls one log service. It is safe for concurrent use.
@@ -64,28 +68,42 @@
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // Append adds data to the stream and returns its offset. After an error other than *StatusError the append may have
-// taken effect. In a new era of the log it begins once other instances have had time to append again what was lost.
+// taken effect. It is refused until the stream is known to have the record of the log's era.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	for {
-		era, err := c.enterEra(ctx, stream)
+		era, err := c.checkEntered(stream)
 		if err != nil {
 			return 0, err
 		}
-		offset, err := c.appendIn(ctx, stream, data, era, 0)
+		offset, err := c.appendIn(ctx, stream, era, 0, data)
 		if err == nil || c.currentEra() == era {
 			return offset, err
 		}
 	}
 }
 
-// AppendAt appends a record again that the log has lost, if it gets its former offset.
-func (c *Client) AppendAt(ctx context.Context, stream string, offset uint64, data []byte) error {
-	_, err := c.appendIn(ctx, stream, data, c.currentEra(), offset)
+// AppendAgain appends records that the log has lost, if the first gets its former offset.
+func (c *Client) AppendAgain(ctx context.Context, stream string, offset uint64, records [][]byte) error {
+	data, err := json.Marshal(records)
+	if err != nil {
+		return err
+	}
+	_, err = c.appendIn(ctx, stream, c.currentEra(), offset, data)
+	return err
+}
+
+// BeginEra appends the record of an era.
+func (c *Client) BeginEra(ctx context.Context, stream string, era uint64) error {
+	data, err := proto.Marshal(&record.Record{Kind: &record.Record_Era{Era: &record.Era{Number: era}}})
+	if err != nil {
+		return err
+	}
+	_, err = c.appendIn(ctx, stream, era, 0, data)
 	return err
 }
 
-// appendIn appends if the log is in an era and, unless offset is 0, if the record gets that offset.
-func (c *Client) appendIn(ctx context.Context, stream string, data []byte, era, offset uint64) (uint64, error) {
+// appendIn appends if the log is in an era. With an offset, data is a list of records, of which the first must get that offset.
+func (c *Client) appendIn(ctx context.Context, stream string, era, offset uint64, data []byte) (uint64, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer release(req, resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -116,7 +134,7 @@
 	if err := c.call(ctx, stream, req, resp); err != nil {
 		return out, err
 	}
-	out.Eras = c.noteEras(time.Now(), resp)
+	out.Eras, out.EraAge = c.noteEras(resp)
 	return out, json.Unmarshal(resp.Body(), &out)
 }
 
@@ -135,7 +153,7 @@
 		return err
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
-		c.noteEras(time.Now(), resp)
+		c.noteEras(resp)
 		return &StatusError{Stream: stream, Status: status}
 	}
 	return nil
--- a/internal/stand/logsrv/logsrv.go
+++ b/internal/stand/logsrv/logsrv.go
@@ -91,9 +91,14 @@
 	} else if wait > 0 {
 		time.Sleep(wait)
 	}
-	body := c.Body()
+	body, records := c.Body(), [][]byte{c.Body()}
 	want := condition{era: uint64(c.QueryInt("era")), at: uint64(c.QueryInt("at"))}
-	offset, ok := s.store.append(time.Now(), c.Params("stream"), body, want)
+	if want.at > 0 {
+		if err := json.Unmarshal(body, &records); err != nil {
+			return fiber.NewError(fiber.StatusBadRequest, err.Error())
+		}
+	}
+	offset, ok := s.store.append(time.Now(), c.Params("stream"), want, records...)
 	s.setEras(c)
 	if !ok {
 		return c.SendStatus(fiber.StatusConflict)
--- a/internal/stand/logsrv/store.go
+++ b/internal/stand/logsrv/store.go
@@ -60,20 +60,22 @@
 	return st
 }
 
-// condition is what an append requires. at is the offset that the record must get, 0 for any.
+// condition is what an append requires. at is the offset that the first record must get, 0 for any.
 type condition struct {
 	era, at uint64
 }
 
-// append adds a record if the condition holds.
-func (s *store) append(now time.Time, name string, data []byte, c condition) (offset uint64, ok bool) {
+// append adds records if the condition holds, and returns the offset of the last.
+func (s *store) append(now time.Time, name string, c condition, records ...[]byte) (offset uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.open(name)
 	if c.era != s.era || c.at != 0 && c.at != st.next() {
 		return 0, false
 	}
-	st.entries = append(st.entries, entry{data: bytes.Clone(data), at: now})
+	for _, data := range records {
+		st.entries = append(st.entries, entry{data: bytes.Clone(data), at: now})
+	}
 	offset = st.next() - 1
 	s.retain(now, st)
 	st.wake()
