--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -199,7 +199,7 @@
 		},
 		BeginEra:     func(ctx context.Context, number uint64) error { return f.Config.BeginEra(ctx, stream, number) },
 		OnDiverged:   func(offset uint64) { f.OnDiverged(stream, offset) },
-		OnEra:        func(number uint64) { f.OnEra(stream, number) },
+		OnEra:        func(number uint64) { f.noteEra(stream, number) },
 		Era:          era,
 		Now:          time.Now,
 		NeedsContact: f.NeedsContact,
@@ -222,6 +222,18 @@
 	return f.placement.Offset()
 }
 
+// noteEra takes a record that begins an era.
+func (f *Folds) noteEra(stream string, number uint64) {
+	for _, s := range []*followedStream{f.config, f.place} {
+		if s.name == stream {
+			s.mu.Lock()
+			s.schedule.ForgetStored()
+			s.mu.Unlock()
+		}
+	}
+	f.OnEra(stream, number)
+}
+
 func (f *Folds) foldEra(stream string) uint64 {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/peer/relay/restored_test.go
+++ b/internal/peer/relay/restored_test.go
@@ -118,6 +118,22 @@
 	}
 }
 
+// Guards against a stream that nobody can begin to read: the log lost the snapshot that covers the trimmed records, and gets it back
+// without its state.
+func TestSnapshotLost(t *testing.T) {
+	const trimmed = 500
+	var s relay.SnapshotSchedule
+	now := time.Now()
+	s.NoteStored(now, 2*trimmed)
+	if s.IsDue(now, 3*trimmed, trimmed, 0) {
+		t.Fatal("a snapshot is due though one covers the trimmed records")
+	}
+	s.ForgetStored()
+	if !s.IsDue(now, 3*trimmed, trimmed, 0) {
+		t.Error("no snapshot is due, though the log may have lost the one that covers the trimmed records")
+	}
+}
+
 // Guards against an instance that goes on by records which the others have lost, as it was cut off while the log recovered.
 func TestLogRestoredDuringCut(t *testing.T) {
 	s := startLog(t)
--- a/internal/peer/relay/snap.go
+++ b/internal/peer/relay/snap.go
@@ -26,6 +26,9 @@
 	s.NoteState(now, asof)
 }
 
+// ForgetStored records that the log was restored: it may have lost the latest snapshot, and got it back without its state.
+func (s *SnapshotSchedule) ForgetStored() { s.storedAsof = 0 }
+
 // NoteState records the offset of the state adopted at the start, so that the instance does not write a snapshot at
 // once.
 func (s *SnapshotSchedule) NoteState(now time.Time, asof uint64) {
