Let the tests of platf listen outside the kernel's range of ports

Suspected cause of a request without an id that a server got in a run beside three of TestChaos: these kill and restart instances, whose callers go on connecting to ports that the kernel has given out again meanwhile.

--- a/internal/stand/proxy/proxy.go
+++ b/internal/stand/proxy/proxy.go
@@ -51,8 +51,11 @@
 }
 
 // New returns a proxy that listens on a loopback port. Connections are refused until the target is set.
-func New() (*Proxy, error) {
-	ln, err := ports.NewListener(netip.MustParseAddrPort("127.0.0.1:0"))
+func New() (*Proxy, error) { return NewAt(netip.MustParseAddrPort("127.0.0.1:0")) }
+
+// NewAt returns a proxy that listens at addr.
+func NewAt(addr netip.AddrPort) (*Proxy, error) {
+	ln, err := ports.NewListener(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/test/platf/fleet.go
+++ b/test/platf/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -89,14 +88,14 @@
 		in := &Instance{DC: f.DCs[i%len(f.DCs)]}
 		in.Name, in.ProgramPath, in.Args = fmt.Sprint("i", i+1), programs.Daemon, []string{"platform"}
 		in.LogPath = filepath.Join(dir, in.Name+".log")
-		if in.ToStore, err = proxy.New(); err != nil {
+		if in.ToStore, err = newProxy(); err != nil {
 			return nil, err
 		}
 		if err := in.ToStore.SetTarget(store.Address); err != nil {
 			return nil, err
 		}
 		for _, a := range []*netip.AddrPort{&in.Callers, &in.Ready, &in.Peers, &in.Metrics} {
-			if *a, err = freePort(); err != nil {
+			if *a, err = stands.FreePort(); err != nil {
 				return nil, err
 			}
 		}
@@ -115,26 +114,12 @@
 	return f, nil
 }
 
-// ports are handed out below the range from which the kernel takes those of outgoing connections.
-var nextPort atomic.Uint32
-
-// pidStride keeps apart the ports of test processes with successive ids, which take some hundred each.
-const pidStride = 7919
-
-func init() { nextPort.Store(uint32(os.Getpid()) * pidStride) }
-
-// freePort returns an address that no other instance of this test process gets.
-func freePort() (netip.AddrPort, error) {
-	const first, count, tries = 10000, 20000, 200
-	var err error
-	for range tries {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+nextPort.Add(1)%count))
-		var ln net.Listener
-		if ln, err = net.Listen("tcp", addr.String()); err == nil {
-			return addr, ln.Close()
-		}
+func newProxy() (*proxy.Proxy, error) {
+	addr, err := stands.FreePort()
+	if err != nil {
+		return nil, err
 	}
-	return netip.AddrPort{}, err
+	return proxy.NewAt(addr)
 }
 
 func (f *Fleet) settings(in *Instance, seeds []string) string {
@@ -194,7 +179,7 @@
 	p := f.fronts[id]
 	if p == nil {
 		var err error
-		if p, err = proxy.New(); err != nil {
+		if p, err = newProxy(); err != nil {
 			return nil, err
 		}
 		f.fronts[id] = p
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -85,7 +85,7 @@
 
 // Start begins to listen and to register every heartbeat.
 func (s *Server) Start(heartbeat time.Duration) (err error) {
-	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if s.ln, err = listen(); err != nil {
 		return err
 	}
 	if !s.Address.IsValid() {
--- a/test/stands/store.go
+++ b/test/stands/store.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -60,7 +59,7 @@
 
 // NewStore starts a store on loopback.
 func NewStore(seed uint64) (*Store, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return nil, err
 	}
