Give each test process ports of its own, and keep the field version of publication events

A port that was just closed may still be held by a process that is being started, so that listeners try the next one. The event has its version again, the number of the record.

This also explains a request that no caller sent: with overlapping ports TestStartFromLeader showed 'POST /twirp/bramleycove.site.Site/Push', a push of another test's leader.

--- a/internal/peer/folds/folds.go
+++ b/internal/peer/folds/folds.go
@@ -274,11 +274,11 @@
 		return err
 	}
 	f.mu.Lock()
-	outcome, version := f.tables.Apply(offset, rec, valid), f.tables.Version
+	outcome, version := f.tables.Apply(offset, rec, valid), f.tables.Number(offset)
 	f.mu.Unlock()
 	p := rec.GetPublish()
 	if p != nil {
-		f.LogEvent("publication", "offset", offset, "base", p.GetBase(), "outcome", outcome.String())
+		f.LogEvent("publication", "version", version, "base", p.GetBase(), "outcome", outcome.String())
 	}
 	if p != nil && outcome == fold.Applied {
 		f.OnTables(version, parsed)
--- a/internal/place/fold/config.go
+++ b/internal/place/fold/config.go
@@ -37,7 +37,7 @@
 	}
 	switch kind := rec.GetKind().(type) {
 	case *record.Record_Publish:
-		return c.applyPublish(c.number(offset), kind.Publish, valid)
+		return c.applyPublish(c.Number(offset), kind.Publish, valid)
 	case *record.Record_Era:
 		return c.beginEra(kind.Era)
 	case *record.Record_Snapshot:
--- a/internal/place/fold/fold.go
+++ b/internal/place/fold/fold.go
@@ -42,8 +42,8 @@
 // given out twice, though an instance may have acted by a record that is lost.
 const eraGap = 1 << 16
 
-// number returns what identifies the record at offset, for versions, terms and tokens.
-func (c *cursor) number(offset uint64) uint64 { return offset + c.era*eraGap }
+// Number returns what identifies the record at offset, for versions, terms and tokens.
+func (c *cursor) Number(offset uint64) uint64 { return offset + c.era*eraGap }
 
 // beginEra applies a record of that kind.
 func (c *cursor) beginEra(e *record.Era) Outcome {
@@ -83,7 +83,7 @@
 // nothing, if such a state is impossible or older than this one.
 func (c *cursor) restoreCursor(asof, era, highest uint64) bool {
 	next := cursor{offset: asof, era: era}
-	if era < c.era || era > maxEra || highest > next.number(asof) || !c.skipTo(asof) {
+	if era < c.era || era > maxEra || highest > next.Number(asof) || !c.skipTo(asof) {
 		return false
 	}
 	c.era = era
--- a/internal/place/fold/place.go
+++ b/internal/place/fold/place.go
@@ -81,15 +81,15 @@
 	}
 	switch kind := rec.GetKind().(type) {
 	case *record.Record_Term:
-		return p.applyTerm(p.number(offset), kind.Term)
+		return p.applyTerm(p.Number(offset), kind.Term)
 	case *record.Record_Ready:
 		return p.applyReady(kind.Ready)
 	case *record.Record_Assign:
-		return p.applyAssign(p.number(offset), kind.Assign)
+		return p.applyAssign(p.Number(offset), kind.Assign)
 	case *record.Record_Release:
-		return p.applyRelease(p.number(offset), kind.Release)
+		return p.applyRelease(p.Number(offset), kind.Release)
 	case *record.Record_Seize:
-		return p.applySeize(p.number(offset), kind.Seize)
+		return p.applySeize(p.Number(offset), kind.Seize)
 	case *record.Record_Era:
 		return p.beginEra(kind.Era)
 	default:
--- a/internal/place/fold/state.go
+++ b/internal/place/fold/state.go
@@ -70,7 +70,7 @@
 func (p *Placement) Restore(asof uint64, s *record.Place) bool {
 	next := Placement{cells: make(map[string]*Cell), pools: make(map[string][]Slot), poolDCs: make(map[poolDC]poolDCState)}
 	next.offset, next.era = asof, s.GetEra()
-	highest := next.number(asof)
+	highest := next.Number(asof)
 	if s == nil || !next.load(highest, s) || !next.follows(p) || !p.restoreCursor(asof, s.GetEra(), highest) {
 		return false
 	}
--- a/test/platf/fleet.go
+++ b/test/platf/fleet.go
@@ -114,12 +114,12 @@
 	return f, nil
 }
 
-func newProxy() (*proxy.Proxy, error) {
-	addr, err := stands.FreePort()
-	if err != nil {
-		return nil, err
-	}
-	return proxy.NewAt(addr)
+func newProxy() (p *proxy.Proxy, err error) {
+	err = stands.OnFreePort(func(addr netip.AddrPort) (err error) {
+		p, err = proxy.NewAt(addr)
+		return err
+	})
+	return p, err
 }
 
 func (f *Fleet) settings(in *Instance, seeds []string) string {
