--- a/internal/stand/logsrv/logsrv.go
+++ b/internal/stand/logsrv/logsrv.go
@@ -123,7 +123,9 @@
 		mood := s.NextChange()
 		now := time.Now()
 		batch, more := s.store.read(now, c.Params("stream"), from, limit)
-		if len(batch.Records) > 0 || !now.Before(deadline) || from < batch.First || from > batch.Next {
+		// What a reader beyond the end of a restored stream waits for may never be appended again.
+		lacksRecords := from > batch.Next && s.store.isRestored()
+		if len(batch.Records) > 0 || !now.Before(deadline) || from < batch.First || lacksRecords {
 			return s.answer(c, mode, batch)
 		}
 		timer := time.NewTimer(deadline.Sub(now))
--- a/internal/stand/logsrv/store.go
+++ b/internal/stand/logsrv/store.go
@@ -106,6 +106,12 @@
 	return slices.Clone(s.open(name).eras), now.Sub(s.restoredAt)
 }
 
+func (s *store) isRestored() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era > 0
+}
+
 func (st *stream) wake() {
 	close(st.changed)
 	st.changed = make(chan struct{})
