Wait also for keys without a recorded owner in a restored store

Found by reading, of the class of CONFIG: a leader that finds owners which nobody has recorded since the store was restored waits until earlier grants have ended, but keys in none of the recorded ranges were assigned at once. The store may have lost the record of their first owner, which still holds them.

They wait like the others. assign.TestDistrustedGapsWait failed before ("orders [grant] after 100ms, want none before 5 s").

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -141,10 +141,15 @@
 }
 
 // DistrustOwners notes that the owners which the assigner has taken over may not be the latest ones. Nobody gets keys before the
-// grants of earlier leaders have ended; then the recorded owners get them back.
-func (k *Assigner) DistrustOwners(now time.Time) {
+// grants of earlier leaders have ended, at inherited; then the recorded owners get them back. Keys without an owner wait as well.
+func (k *Assigner) DistrustOwners(now, inherited time.Time) {
+	var known spans.Map
 	for _, p := range k.ranges {
 		p.state, p.stateSince, p.target = unowned, now, p.Owner
+		known = append(known, p.Span)
+	}
+	for _, g := range known.Gaps() {
+		k.insert(&keyRange{Span: g, state: unowned, stateSince: now, earlierUntil: inherited, inherited: true})
 	}
 }
 
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -101,7 +101,7 @@
 	for pool, m := range c.builder.Owners {
 		k := assign.New(m, &c.leader.maxFence, now, inheritedUntil)
 		if c.mayLackMoves(pool, end) {
-			k.DistrustOwners(now)
+			k.DistrustOwners(now, inheritedUntil)
 			c.log.Warn("owners-unsure", "pool", pool, "end", keyed.FormatPosition(end))
 		}
 		c.leader.keepers[pool] = k
