Read all servers of a restored store before dropping those that it lacks

Cause: servers that have not registered since a restoration are dropped when live ones had the time to. The leader that found the store restored reads all records and knows which servers the copy still had. Its pushes carry the end of the stream and only what changed, so that for the next leader all servers were from before the restoration, and they register again only when they change.

A leader now reads all records of an era once before it drops any. reads.TestRestoredBeforeLeading failed before ("a server of the restored store is dropped").

--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -49,6 +49,7 @@
 	interruptWait    func()    // ends the current wait for tables; nil before the first
 	serversReadAt    time.Time // last read of the servers' records
 	serversReadSince time.Time // start of these reads, or when the store was restored since
+	serversEra       uint64    // era of the store in which all servers' records were last read
 }
 
 // StoreIsFar reports whether the store seems to be in another region.
@@ -103,6 +104,7 @@
 	now := r.Now()
 	if restored {
 		r.removalHold.NoteRestored(now)
+		r.serversEra = keyed.Era(batch.End)
 	}
 	if restored || now.Sub(r.serversReadAt) > maxReadGap {
 		r.serversReadSince = now
@@ -112,12 +114,35 @@
 	settled := now.Sub(r.serversReadSince) >= mirror.ReregisterTime
 	r.mu.Unlock()
 	r.Streams.Apply(keyed.Servers, batch, false)
-	if settled {
+	if settled && r.hasReadEra(ctx, keyed.Era(batch.End)) {
 		r.Streams.DropEarlierEras(keyed.Servers)
 	}
 	return true
 }
 
+// hasReadEra reports whether this instance has read all servers' records in an era, and reads them if it has not. What it knows of the
+// era from pushes lacks the records that the copy still had.
+func (r *Reader) hasReadEra(ctx context.Context, era uint64) bool {
+	r.mu.Lock()
+	done := r.serversEra == era
+	r.mu.Unlock()
+	if done || era == 0 {
+		return done
+	}
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	batch, err := r.Log.Newest(ctx, keyed.Servers)
+	r.NoteResult(keyed.Servers, err)
+	if err != nil || keyed.Era(batch.End) != era {
+		return false
+	}
+	r.Streams.Apply(keyed.Servers, batch, false)
+	r.mu.Lock()
+	r.serversEra = era
+	r.mu.Unlock()
+	return true
+}
+
 // AwaitTables waits for new tables. It pauses after a failure, but not if another call has found the store back meanwhile.
 func (r *Reader) AwaitTables(ctx context.Context) {
 	waitCtx, interrupt := context.WithCancel(ctx)
--- a/internal/peer/reads/reads_test.go
+++ b/internal/peer/reads/reads_test.go
@@ -49,6 +49,35 @@
 	}
 }
 
+// Guards against a new leader that drops all servers: after a restoration it knows the end of the stream from pushes, and the servers have
+// written nothing since.
+func TestRestoredBeforeLeading(t *testing.T) {
+	streams := &mirror.Streams{IsStale: func(_ keyed.Topic, _ string, known, value []byte) bool { return string(value) == string(known) }}
+	lives, lost := keyed.Entry{Key: "lives", Offset: 4, Value: []byte("x")}, keyed.Entry{Key: "lost", Offset: 9, Value: []byte("x")}
+	streams.Apply(keyed.Servers, keyed.Batch{Entries: []keyed.Entry{lives, lost}, End: 10}, true)
+	end := keyed.Position(1, 8)
+	streams.Apply(keyed.Servers, keyed.Batch{End: end}, false)
+	now := time.Unix(1000, 0)
+	r := &reads.Reader{Streams: streams, Now: func() time.Time { return now }, Log: keyed.Log{
+		Read: func(context.Context, keyed.Topic, uint64, time.Duration) (keyed.Batch, error) {
+			return keyed.Batch{End: end}, nil
+		},
+		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) {
+			return keyed.Batch{Entries: []keyed.Entry{{Key: "lives", Offset: keyed.Position(1, 4), Value: []byte("x")}}, End: end}, nil
+		},
+	}}
+	for range 8 {
+		r.ReadServers(context.Background())
+		now = now.Add(500 * time.Millisecond)
+	}
+	if len(streams.Get(keyed.Servers, "lives").Value) == 0 {
+		t.Error("a server of the restored store is dropped")
+	}
+	if len(streams.Get(keyed.Servers, "lost").Value) > 0 {
+		t.Error("a server that the restored store lacks is kept")
+	}
+}
+
 // Guards against a leader that reads all heartbeats over the link between regions, which is narrow and billed by volume,
 // although others are in the store's region.
 func TestStoreIsFar(t *testing.T) {
