Pass on what a restored store has lost to instances that may lead later

Found by reading, of the class of CONFIG: the instance that finds the store restored marks tables, lead and owners that are newer than the copy's, and sends them to instances that know only the copy. Members learnt the end of the stream but not the marks, so that one that led later left an instance that had started from the copy with the copy's tables, until the operator writes them again.

Marked entries now count as changes of the stream. Servers are left out: they are many, and a new leader reads them. mirror.TestRestoredSuccessor failed before ("tables are \"v4\", want those that the successor knows").

--- a/internal/peer/mirror/restored_test.go
+++ b/internal/peer/mirror/restored_test.go
@@ -75,6 +75,27 @@
 	}
 }
 
+// Guards against an instance that keeps the older tables of the copy because a later leader, which has never read the copy, does not
+// send it the newer ones.
+func TestRestoredSuccessor(t *testing.T) {
+	leader, successor, started := newRestorable(), newRestorable(), newRestorable()
+	for _, b := range []*mirror.Streams{leader, successor} {
+		b.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", 9, "v5")}, End: 10}, true)
+	}
+	_, known := leader.ChangesAfter(keyed.Config, 0)
+	for _, b := range []*mirror.Streams{leader, started} {
+		b.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", restored(2), "v4")}, End: restored(3)}, true)
+	}
+	pushed, _ := leader.ChangesAfter(keyed.Config, known)
+	successor.Apply(keyed.Config, pushed, false)
+	end, _ := started.End(keyed.Config)
+	batch, _ := successor.EntriesFrom(keyed.Config, end)
+	started.Apply(keyed.Config, batch, false)
+	if got := started.Get(keyed.Config, "config"); string(got.Value) != "v5" {
+		t.Errorf("tables are %q, want those that the successor knows", got.Value)
+	}
+}
+
 // Guards against a lead that is dropped because the copy is older than its first record.
 func TestRestoredEmpty(t *testing.T) {
 	b := newRestorable()
--- a/internal/peer/mirror/streams.go
+++ b/internal/peer/mirror/streams.go
@@ -92,6 +92,11 @@
 		if ok && b.IsStale != nil && keyed.Era(e.Offset) > keyed.Era(old.Offset) && len(old.lastValue) > 0 && b.IsStale(topic, e.Key, old.lastValue, e.Value) {
 			// Later than all that the store had when it was restored, so that it also replaces what others have read there.
 			old.Offset, old.kept = max(e.Offset, batch.End-1), true
+			if topic != keyed.Servers {
+				// Instances that learn the end from pushes must know it too: one may lead later. Servers are many; a new leader reads them.
+				s.seq++
+				old.seq = s.seq
+			}
 			s.items[e.Key] = old
 			return
 		}
