Count no instance that started from a restored store as a witness of lost terms

Found by reading, of the class of CONFIG (memberships): an instance that starts counts for the quorum of leaders whose term is above the newest that it reads, as it may have followed a newer one than theirs before. A restored copy has an older lead, so that such an instance could keep an earlier leader acting, though it had followed the successor whose record the store lost: two leaders.

Its start term is now the last of all earlier eras at least. A leader that goes on over a restoration begins new terms in the present era, so that these instances count for it again.

coord.TestNoWitnessBeforeRestoredStart failed before ("start term 4, want at least the last of the earlier era").

--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -217,6 +217,7 @@
 			k.BeginRecord()
 		}
 	}
+	c.leadership.MinTerm = firstTerm(end)
 	next := c.leadership.NextRecord(rand.Uint64(), c.leader.peers, c.needsNewTerm(now))
 	c.leadership.BeginAppend(now, next)
 	l := c.leader
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -47,9 +47,10 @@
 	if c.mayHaveLostOwners() {
 		c.pullAll(ctx)
 	}
+	end, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.member.started, c.member.startTerm = done, c.currentTerm()
+	c.member.started, c.member.startTerm = done, max(c.currentTerm(), lastLostTerm(end))
 	c.leadership.MarkStreamsRead(c.cfg.Now())
 }
 
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -19,6 +19,10 @@
 
 func firstFence(end uint64) uint64 { return firstTerm(end) }
 
+// lastLostTerm returns the highest term that may have been lost when the store was restored, 0 if it never was. Before its start this
+// instance may have followed a leader of any of them.
+func lastLostTerm(end uint64) uint64 { return max(firstTerm(end), 1) - 1 }
+
 // mayLackMoves reports whether the recorded owners of a pool may be older than the latest moves: no leader has recorded them
 // since the store was restored. c.mu is held.
 func (c *Coordinator) mayLackMoves(pool string, end uint64) bool {
--- a/internal/place/coord/restored_test.go
+++ b/internal/place/coord/restored_test.go
@@ -8,6 +8,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
 // Guards against a leader whose lease has ended and that goes on by its earlier record: the store was restored, and may have lost
@@ -54,3 +55,27 @@
 		break
 	}
 }
+
+// Guards against an instance that was restarted after a restoration and counts for the quorum of a leader whose successor it followed
+// before: the store may have lost the successor's record.
+func TestNoWitnessBeforeRestoredStart(t *testing.T) {
+	earlier, err := build.EncodeLead(elect.LeadRecord{Holder: "127.0.0.1:2", Term: 4, Members: []string{"127.0.0.1:1", "127.0.0.1:2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlier.Offset = keyed.Position(1, 0)
+	store := &fakeLog{era: 1, foreignPlace: keyed.Batch{Entries: []keyed.Entry{earlier}, End: keyed.Position(1, 1)}}
+	c, stop := start(netip.MustParseAddrPort("127.0.0.1:1"), store)
+	defer stop()
+	const later = 1 << 40 // a term from which the answer of an instance that is still starting can be told
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		r := c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:3", Term: later})
+		if r.GetStartTerm() == later && time.Since(begun) < 20*time.Second {
+			continue
+		}
+		if r.GetStartTerm() < 1<<32-1 || r.GetStartTerm() == later {
+			t.Errorf("start term %d, want at least the last of the earlier era", r.GetStartTerm())
+		}
+		return
+	}
+}
