Grant keys to another server only when a majority of the instances knows that they move

Callers were refused for seconds (key-moving) when the leader was lost around a restoration: its successor could not know whether the store had lost records of moves, and waited until all earlier grants had ended, 4.8 to 6.5 s.

Members are told of moving ranges before these are released. The leader now waits, before it grants such a range to another server, until a majority of its members has taken a push that names it. That usually takes less time than announcement, release and record. A member remembers a moving range until it has all records that its leader had made. So a majority of the same members knows all moves that the store may have lost: a successor in a restored store asks for them with its first push (package place/recall), and only the ranges that were moving wait. An instance that starts from a restored copy asks all others for owners until they are recorded again.

Safety does not depend on time: members that were restarted count only with all records from the earlier leader's pushes. If a member knows later records than the successor, or no majority answers, all keys wait as before.

--- a/internal/peer/push/push.go
+++ b/internal/peer/push/push.go
@@ -139,6 +139,13 @@
 	return out
 }
 
+// LastNumber returns the number of the newest push.
+func (p *Pusher) LastNumber() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastNumber
+}
+
 // Member is an instance as its replies describe it. DC is empty if it has not answered yet.
 type Member struct {
 	Address, DC string
--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -5,6 +5,8 @@
 package assign
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/place/shift"
@@ -103,6 +105,8 @@
 	notListening  bool        // the last order to the server that was sent found its address not listening
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	singledAt     time.Time   // when a move for its load left it with a single key
+	reassigned    bool        // this leader chose the owner
+	movingAfter   uint64      // number of the newest push when the range began to move
 }
 
 // freeAt returns the time from which no earlier grant of an unowned range can take effect.
@@ -120,6 +124,12 @@
 	// PauseMoves is set while assignments can't be recorded. Keys released meanwhile would stay without an owner, so no keys
 	// are moved from servers that may keep them, and announced moves of such keys are cancelled.
 	PauseMoves bool
+	// PushNumber is the number of the newest push to the other instances. Later pushes name all ranges that move now.
+	PushNumber uint64
+	// WitnessedPush is the number of the newest push that a majority of the instances has taken. A range is granted to another
+	// server only when such a push has named it: after a restoration of the store nobody else may know of the move. New sets it
+	// to the highest number, so that no grant waits.
+	WitnessedPush uint64
 
 	ranges    []*keyRange
 	lastFence *uint64
@@ -131,7 +141,7 @@
 //
 // fence points to the highest fence ever used. Assigners of several pools may share it.
 func New(m spans.Map, fence *uint64, now, inherited time.Time) *Assigner {
-	k := &Assigner{lastFence: fence, dirty: true}
+	k := &Assigner{lastFence: fence, dirty: true, WitnessedPush: math.MaxUint64}
 	for _, s := range m {
 		*k.lastFence++
 		s.Fence = *k.lastFence
@@ -153,6 +163,19 @@
 	}
 }
 
+// TrustOwners notes that the owners which DistrustOwners has marked are the latest ones after all, except those of moving ranges.
+func (k *Assigner) TrustOwners(now time.Time, moving []spans.Span) {
+	for _, s := range moving {
+		k.cutOut(now, s.First, s.Last)
+	}
+	for _, p := range k.ranges {
+		uncertain := slices.ContainsFunc(moving, func(s spans.Span) bool { return p.First <= s.Last && s.First <= p.Last })
+		if p.inherited && p.state == unowned && p.Server != "" && !uncertain {
+			p.state, p.stateSince, p.target = owned, now, spans.Owner{}
+		}
+	}
+}
+
 func (k *Assigner) insert(p *keyRange) *keyRange {
 	i := 0
 	for i < len(k.ranges) && k.ranges[i].First < p.First {
@@ -276,13 +299,21 @@
 		case p.state == announced && usable && k.PauseMoves:
 			p.state, p.stateSince, p.target = owned, now, spans.Owner{}
 		case !usable && p.state == owned && !p.unrecorded:
-			p.state, p.stateSince, p.target = announced, now, spans.Owner{}
+			k.announce(now, p, spans.Owner{})
 		}
 	}
 }
 
+// announce begins to move p to target, which may not be chosen yet. The instances are told before the release.
+func (k *Assigner) announce(now time.Time, p *keyRange, target spans.Owner) {
+	p.state, p.stateSince, p.target, p.movingAfter = announced, now, target, k.PushNumber
+}
+
 // markUnowned notes that the owner of p no longer holds it, except through grants that may still take effect.
 func (k *Assigner) markUnowned(now time.Time, p *keyRange, handover string) {
+	if p.state == owned {
+		p.movingAfter = k.PushNumber
+	}
 	p.state, p.stateSince, p.Handover, p.inFlight = unowned, now, handover, false
 }
 
@@ -343,7 +374,7 @@
 			// The target may be the server that has just lost the keys.
 			p.target = mv.To
 			if p.state == owned {
-				p.state, p.stateSince = announced, now
+				k.announce(now, p, mv.To)
 				if mv.First == mv.Last {
 					p.singledAt = now
 				}
@@ -377,7 +408,7 @@
 	for _, g := range covered.Gaps() {
 		if g.Last >= first && g.First <= last {
 			out = append(out, k.insert(&keyRange{
-				Span: spans.Span{First: max(g.First, first), Last: min(g.Last, last)}, state: unowned, stateSince: now,
+				Span: spans.Span{First: max(g.First, first), Last: min(g.Last, last)}, state: unowned, stateSince: now, movingAfter: k.PushNumber,
 			}))
 		}
 	}
@@ -433,6 +464,7 @@
 			inFlight[p.Owner]++
 			nonRenewals++
 			out = append(out, Order{Kind: Release, Span: p.Span})
+		case p.reassigned && p.fenceUnused && k.WitnessedPush <= p.movingAfter:
 		case (p.state == owned || p.state == announced) && !p.unrecorded && now.Sub(p.renewedAt) >= renewInterval && (p.fenceUnused || !renewing[p.Owner]):
 			p.inFlight = true
 			if !renewal {
@@ -453,7 +485,9 @@
 		}
 		*k.lastFence++
 		p.Span = spans.Span{First: p.First, Last: p.Last, Owner: p.target, Fence: *k.lastFence, Handover: p.Handover}
-		*p = keyRange{Span: p.Span, unrecorded: true, fenceUnused: true, stateSince: now, singledAt: p.singledAt}
+		*p = keyRange{
+			Span: p.Span, unrecorded: true, fenceUnused: true, stateSince: now, singledAt: p.singledAt, reassigned: true, movingAfter: p.movingAfter,
+		}
 		k.dirty = true
 	}
 }
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -50,6 +50,7 @@
 	Owners       map[string]spans.Map
 	Chunks       map[string]*sitepb.Owners // owners as recorded, by record key
 	HighestFence uint64                    // highest recorded fence
+	EraFences    map[uint64]uint64         // highest recorded fence of each era of the store
 	MovingRanges map[string][]topo.MovingRange
 
 	routes topo.Routes
@@ -146,6 +147,11 @@
 		}
 		b.Chunks[e.Key] = o
 		b.HighestFence = max(b.HighestFence, o.GetFence())
+		if b.EraFences == nil {
+			b.EraFences = make(map[uint64]uint64)
+		}
+		era := elect.EraOf(o.GetFence())
+		b.EraFences[era] = max(b.EraFences[era], o.GetFence())
 		b.Owners = nil
 	}
 	return nil
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -107,6 +107,12 @@
 	peers             []string // all instances, in the order of succession
 	started           bool     // start has succeeded
 	startTerm         uint64   // newest term at that time
+
+	moving       []*sitepb.Range // ranges that its leader was moving, as far as it may lack the records of their new owners
+	completeTerm uint64          // newest term by whose leader's pushes it had all records, or which it led
+	earlier      *sitepb.Earlier // what it knew of the owners when it first followed a leader of earlierEra; nil before
+	earlierEra   uint64
+	earlierUntil time.Time // earlier is part of replies until then
 }
 
 // New returns a coordinator that does nothing until Run is called.
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,7 +37,7 @@
 	// This instance has no quorum until a renewal records its own members. A successor that finds only this claim, whose answer
 	// may be lost, waits for the earlier members.
 	end, _ := c.book.End(keyed.Place)
-	c.leadership.MinTerm = firstTerm(end)
+	c.leadership.MinTerm = firstNumber(end)
 	next := c.leadership.NextRecord(rand.Uint64(), earlier.Members, false)
 	c.mu.Unlock()
 	start := c.cfg.Now()
@@ -91,21 +92,27 @@
 		inheritedUntil = now.Add(grantTimeout + c.maxGrantDuration())
 	}
 	c.leader = &leaderState{
-		earlierRecord: earlier, earlierRenewedAt: renewed, quorum: elect.NewQuorum(nil), successionQuorum: elect.NewQuorum(earlier.Members),
+		term: c.currentTerm(), earlierRecord: earlier, earlierRenewedAt: renewed, quorum: elect.NewQuorum(nil), successionQuorum: elect.NewQuorum(earlier.Members),
 		startedAt: now, keepers: make(map[string]*assign.Assigner), gathers: make(map[string]*assign.InitialDelay), gauge: load.New(),
 		permits:  quota.NewArbiter(c.cfg.Limits),
-		maxFence: max(c.builder.HighestFence, firstFence(end)), recordedEra: keyed.Era(end),
+		maxFence: max(c.builder.HighestFence, firstNumber(end)), recordedEra: keyed.Era(end),
 	}
 	c.leader.gauge.NamedRate = c.namedRate
 	c.leader.successionQuorum.AddAck(c.leadership.Self, now, c.member.followedAt)
+	unsure := false
 	for pool, m := range c.builder.Owners {
 		k := assign.New(m, &c.leader.maxFence, now, inheritedUntil)
 		if c.mayLackMoves(pool, end) {
 			k.DistrustOwners(now, inheritedUntil)
 			c.log.Warn("owners-unsure", "pool", pool, "end", keyed.FormatPosition(end))
+			unsure = true
 		}
+		c.setPushNumbers(k)
 		c.leader.keepers[pool] = k
 	}
+	if unsure {
+		c.beginSurvey(now, c.currentTerm())
+	}
 	c.relay.SetPeers(now, nil)
 	// What this instance knew of the others when it last led is so old that they would count as silent.
 	c.pusher.SetPeers(now, nil)
@@ -136,6 +143,8 @@
 	if r.GetStale() || r.GetTerm() != c.currentTerm() {
 		return
 	}
+	c.addSurveyReply(now, addr, r)
+	l.quorum.AddNumber(addr, pushNumber(r))
 	if r.GetStartTerm() < c.currentTerm() {
 		l.quorum.AddAck(addr, start, start)
 	}
@@ -156,6 +165,20 @@
 	c.log.Info("succeeded", "earlier", l.earlierRecord.Term, "term", c.currentTerm(), "wait", until.Sub(l.startedAt))
 }
 
+// pushNumber returns the number of the newest push that a member has taken. An older build does not tell, and holds up no moves.
+func pushNumber(r *sitepb.PushReply) uint64 {
+	if n := r.GetNumber(); n > 0 {
+		return n
+	}
+	return math.MaxUint64
+}
+
+// setPushNumbers tells a keeper which moves a majority of the members knows of. c.mu is held.
+func (c *Coordinator) setPushNumbers(k *assign.Assigner) {
+	c.leader.quorum.AddNumber(c.leadership.Self, math.MaxUint64)
+	k.PushNumber, k.WitnessedPush = c.pusher.LastNumber(), c.leader.quorum.MajorityNumber()
+}
+
 // mayAct reports whether this instance may send orders. c.mu is held.
 func (c *Coordinator) mayAct(now time.Time) bool {
 	c.leader.quorum.AddAck(c.leadership.Self, now, now)
@@ -171,6 +194,7 @@
 // stopLeading makes this instance a member, after a resignation or another instance's claim. c.mu is held.
 func (c *Coordinator) stopLeading(now time.Time) {
 	c.log.Warn("lead-lost", "term", c.currentTerm(), "unconfirmed", c.leadership.UnconfirmedFor(now))
+	c.member.moving, c.member.completeTerm = c.movingRanges(now), c.leader.term
 	c.leader = nil
 	c.leadership.MarkLost()
 	c.member.followedAt = now // as leader it followed itself
@@ -203,7 +227,7 @@
 	var ownerRecords map[string][]byte
 	recorded := c.builder.Chunks
 	if rewrite {
-		recorded, c.leader.maxFence = nil, max(c.leader.maxFence, firstFence(end))
+		recorded, c.leader.maxFence = nil, max(c.leader.maxFence, firstNumber(end))
 	}
 	fence := c.leader.maxFence
 	if dirty {
@@ -217,7 +241,7 @@
 			k.BeginRecord()
 		}
 	}
-	c.leadership.MinTerm = firstTerm(end)
+	c.leadership.MinTerm = firstNumber(end)
 	next := c.leadership.NextRecord(rand.Uint64(), c.leader.peers, c.needsNewTerm(now))
 	c.leadership.BeginAppend(now, next)
 	l := c.leader
@@ -267,6 +291,7 @@
 	case err == nil:
 		next.Offset = end - 1
 		c.leadership.ConfirmAppend(now, start, next)
+		l.term = next.Term
 		l.quorum.SetMembers(next.Members)
 		// Members that learn of a renewal at once do not take it for a new sign of life when they read it later.
 		l.newsNumber++
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -44,7 +44,7 @@
 			reads.Sleep(ctx, storeReadInterval/2)
 		}
 	}
-	if c.mayHaveLostOwners() {
+	if c.mayLackOwners() {
 		c.pullAll(ctx)
 	}
 	end, _ := c.book.End(keyed.Place)
@@ -169,6 +169,7 @@
 		}
 		if r.GetTerm() > c.member.term {
 			c.log.Info("leader", "leader", r.GetFrom(), "term", r.GetTerm())
+			c.noteEarlier(now, r.GetTerm())
 			c.member.pushNumber, c.member.followedEarlierAt = 0, c.member.followedAt
 		}
 		c.member.followedAt = now
@@ -183,11 +184,13 @@
 			c.member.leaseAge = time.Duration(r.GetUnconfirmedMs()) * time.Millisecond
 			c.leadership.ObserveRenewal(now, r.GetFrom(), r.GetTerm(), r.GetLeadOffset())
 			c.setMoving(r.GetMoving())
+			c.member.noteMoving(r.GetMoving(), false)
 		}
 	}
 	peers := c.member.peers
 	c.mu.Unlock()
 	c.applyStreams(r)
+	c.settleMoving(r)
 	c.cfg.LearnStrikes(time.Now(), r.GetStrikes())
 	permit.MergeLimits(time.Now(), c.cfg.Limits, r.GetLimits())
 	if len(r.GetLatencies()) > 0 && !stale {
@@ -210,6 +213,12 @@
 		Term: max(c.member.term, c.currentTerm()), Stopping: c.stopping.Load(), Stale: stale, StartTerm: c.member.startTerm,
 		Dc: c.cfg.DC, Small: c.cfg.Small, EarlierMs: c.cfg.Now().Sub(c.member.followedEarlierAt).Milliseconds(),
 	}
+	if !stale {
+		r.Number = c.member.pushNumber
+	}
+	if c.cfg.Now().Before(c.member.earlierUntil) {
+		r.Earlier = c.member.earlier
+	}
 	if !c.member.started {
 		// Before a restart it may have followed a newer leader that it has not read of yet.
 		r.StartTerm = r.Term
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -3,31 +3,29 @@
 import (
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/elect"
+	"github.com/bramleycove/bramleycove/internal/place/recall"
+	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
-// A store that is restored from an older copy has lost the latest terms and fences. Those of an era begin above all of the eras
-// before, so that an instance that knows only the copy uses none again.
-const (
-	// numbersPerEra is the number of terms and of fences in an era.
-	numbersPerEra = 1 << 32
-	// maxNumberedEra bounds fences to integers that servers can read as floating-point numbers.
-	maxNumberedEra = 1<<20 - 1
-)
-
-func firstTerm(end uint64) uint64 { return min(keyed.Era(end), maxNumberedEra) * numbersPerEra }
+// earlierReportTime is how long replies to a new leader tell what this instance knows of the earlier leader's moves. Later the
+// earlier grants have ended in any case.
+const earlierReportTime = 5 * time.Second
 
-func firstFence(end uint64) uint64 { return firstTerm(end) }
+// firstNumber returns the lowest term and fence in the era of a position.
+func firstNumber(end uint64) uint64 { return elect.FirstNumber(keyed.Era(end)) }
 
 // lastLostTerm returns the highest term that may have been lost when the store was restored, 0 if it never was. Before its start this
 // instance may have followed a leader of any of them.
-func lastLostTerm(end uint64) uint64 { return max(firstTerm(end), 1) - 1 }
+func lastLostTerm(end uint64) uint64 { return max(firstNumber(end), 1) - 1 }
 
 // mayLackMoves reports whether the recorded owners of a pool may be older than the latest moves: no leader has recorded them
 // since the store was restored. c.mu is held.
 func (c *Coordinator) mayLackMoves(pool string, end uint64) bool {
 	for _, o := range c.builder.Chunks {
-		if o.GetPool() == pool && o.GetFence() < firstFence(end) {
+		if o.GetPool() == pool && o.GetFence() < firstNumber(end) {
 			return true
 		}
 	}
@@ -42,13 +40,13 @@
 	}
 }
 
-// mayHaveLostOwners reports whether the store has no owners though it was restored: the copy may be older than their first
-// record, and other instances know them.
-func (c *Coordinator) mayHaveLostOwners() bool {
+// mayLackOwners reports whether nobody has recorded owners since the store was restored. Other instances may know later ones than the
+// copy has.
+func (c *Coordinator) mayLackOwners() bool {
 	end, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return keyed.Era(end) > 0 && len(c.builder.Chunks) == 0
+	return c.builder.HighestFence < firstNumber(end)
 }
 
 // lostOwnersMayHold reports whether servers may hold keys by owners that nobody knows any more: the store was restored to before
@@ -63,3 +61,92 @@
 	end, _ := c.book.End(keyed.Place)
 	return keyed.Era(end) != c.leader.recordedEra && !c.mayAct(now)
 }
+
+// noteMoving takes the ranges that a push names as moving. Those of earlier pushes are kept until this instance has all records that
+// the leader made before the push: then it knows the new owners. c.mu is held.
+func (m *memberState) noteMoving(ranges []*sitepb.Range, hasRecords bool) {
+	if hasRecords {
+		m.moving, m.completeTerm = ranges, m.term
+		return
+	}
+	m.moving = append(m.moving[:len(m.moving):len(m.moving)], ranges...)
+}
+
+// settleMoving forgets the ranges of earlier pushes if the streams of a push are complete up to the records that its leader had made.
+func (c *Coordinator) settleMoving(r *sitepb.PushRequest) {
+	end, _ := c.book.End(keyed.Place)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.GetTerm() == c.member.term && r.GetNumber() == c.member.pushNumber && end > r.GetLeadOffset() {
+		c.member.noteMoving(r.GetMoving(), true)
+	}
+}
+
+// noteEarlier keeps what this instance knows of the owners before a leader of a term, if the store was restored since the leader
+// before. c.mu is held.
+func (c *Coordinator) noteEarlier(now time.Time, term uint64) {
+	era := elect.EraOf(term)
+	if era > elect.EraOf(c.member.term) && era > c.member.earlierEra {
+		c.member.earlierEra, c.member.earlier = era, &sitepb.Earlier{Moving: c.member.moving, Term: c.member.completeTerm}
+		for e, fence := range c.builder.EraFences {
+			if e < era {
+				c.member.earlier.Fence = max(c.member.earlier.Fence, fence)
+			}
+		}
+	}
+	c.member.earlierUntil = now.Add(earlierReportTime)
+}
+
+// beginSurvey asks the members of the earlier leader for the moves that the store may have lost. c.mu is held.
+func (c *Coordinator) beginSurvey(now time.Time, term uint64) {
+	l := c.leader
+	c.noteEarlier(now, term)
+	if elect.EraOf(l.earlierRecord.Term) == elect.EraOf(term) || c.member.earlier == nil {
+		return
+	}
+	l.survey = recall.New(l.earlierRecord.Members, decodeEarlier(c.member.earlier))
+	c.addReport(c.leadership.Self, c.member.startTerm, c.member.earlier)
+}
+
+// addSurveyReply takes what a member that follows knows of the earlier leader's moves. c.mu is held.
+func (c *Coordinator) addSurveyReply(now time.Time, addr string, r *sitepb.PushReply) {
+	l := c.leader
+	if l.survey == nil || r.GetEarlier() == nil {
+		return
+	}
+	c.addReport(addr, r.GetStartTerm(), r.GetEarlier())
+	moving, ok, complete := l.survey.Result()
+	if !complete {
+		return
+	}
+	l.survey = nil
+	c.log.Info("owners-surveyed", "certain", ok, "moving", len(moving))
+	if !ok {
+		return
+	}
+	for pool, k := range l.keepers {
+		var uncertain []spans.Span
+		for _, m := range moving {
+			if m.Pool == pool {
+				uncertain = append(uncertain, spans.Span{First: m.First, Last: m.Last})
+			}
+		}
+		k.TrustOwners(now, uncertain)
+	}
+}
+
+// addReport adds the report of an instance, unless it may have forgotten by a restart what it had told the earlier leader to know.
+// c.mu is held.
+func (c *Coordinator) addReport(addr string, startTerm uint64, e *sitepb.Earlier) {
+	if term := c.leader.earlierRecord.Term; startTerm < term || e.GetTerm() >= term {
+		c.leader.survey.Add(addr, decodeEarlier(e))
+	}
+}
+
+func decodeEarlier(e *sitepb.Earlier) recall.Report {
+	out := recall.Report{Fence: e.GetFence()}
+	for _, r := range e.GetMoving() {
+		out.Moving = append(out.Moving, recall.Range{Pool: r.GetPool(), First: uint16(r.GetFirst()), Last: uint16(r.GetLast())})
+	}
+	return out
+}
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -11,6 +11,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/place/load"
+	"github.com/bramleycove/bramleycove/internal/place/recall"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
@@ -68,6 +69,8 @@
 	quorum           *elect.Quorum    // members that follow, unless started during this term
 	inheritedUntil   time.Time        // end of earlier leaders' grants; zero until a majority of successionQuorum follows
 	successionQuorum *elect.Quorum    // members of the earlier leader that follow this one
+	term             uint64           // of the newest confirmed record
+	survey           *recall.Survey   // of the earlier leader's moves, if the store may have lost some; nil when it has ended
 	earlierRecord    elect.LeadRecord // the lead before this one
 	earlierRenewedAt time.Time        // no renewal by the earlier leader began later
 	transit          assign.Transit
@@ -82,6 +85,7 @@
 	l := c.leader
 	for _, k := range l.keepers {
 		k.PauseMoves = c.reader.StoreSilence(now) > maxStoreSilence
+		c.setPushNumbers(k)
 	}
 	if now.Sub(l.plannedAt) >= load.Interval {
 		reply := new(sitepb.PushReply)
@@ -176,7 +180,9 @@
 			c.leader.gathers[p.Name] = g
 		}
 		if g.Ready(now, len(c.builder.PoolServers(p.Name))) && !c.lostOwnersMayHold(now) {
-			c.leader.keepers[p.Name] = assign.New(nil, &c.leader.maxFence, now, now)
+			k := assign.New(nil, &c.leader.maxFence, now, now)
+			c.setPushNumbers(k)
+			c.leader.keepers[p.Name] = k
 		}
 	}
 }
--- a/internal/place/elect/elect_test.go
+++ b/internal/place/elect/elect_test.go
@@ -405,3 +405,19 @@
 		t.Error("not claimed 3 s after the restoration")
 	}
 }
+
+// Guards against a push that counts as known to a majority while fewer instances have taken it.
+func TestMajorityNumber(t *testing.T) {
+	q := elect.NewQuorum([]string{"a", "b", "c", "d"})
+	q.AddNumber("a", 9)
+	q.AddNumber("b", 7)
+	q.AddNumber("x", 8) // no member
+	if n := q.MajorityNumber(); n != 0 {
+		t.Errorf("number %d with two of four members, want 0", n)
+	}
+	q.AddNumber("c", 5)
+	q.AddNumber("c", 4) // an earlier reply that comes later
+	if n := q.MajorityNumber(); n != 5 {
+		t.Errorf("number %d, want 5", n)
+	}
+}
--- a/internal/place/elect/quorum.go
+++ b/internal/place/elect/quorum.go
@@ -11,6 +11,7 @@
 type Quorum struct {
 	members []string
 	acks    map[string]ack
+	numbers map[string]uint64 // of the newest push that each instance has taken
 }
 
 // ack is the latest exchange in which a member followed the leader. It began at start; after lastEarlier the member has
@@ -19,7 +20,7 @@
 
 // NewQuorum returns a quorum of members that have not acknowledged the leader yet.
 func NewQuorum(members []string) *Quorum {
-	return &Quorum{members: members, acks: make(map[string]ack)}
+	return &Quorum{members: members, acks: make(map[string]ack), numbers: make(map[string]uint64)}
 }
 
 // SetMembers replaces the members by those of the newest lead record.
@@ -33,6 +34,28 @@
 	}
 }
 
+// AddNumber notes the number of the newest push that an instance has taken.
+func (q *Quorum) AddNumber(member string, number uint64) {
+	q.numbers[member] = max(q.numbers[member], number)
+}
+
+// MajorityNumber returns the highest number of which a majority of the members has taken the push, or a later one. It is 0 if there is
+// none.
+func (q *Quorum) MajorityNumber() uint64 {
+	var numbers []uint64
+	for _, m := range q.members {
+		if n := q.numbers[m]; n > 0 {
+			numbers = append(numbers, n)
+		}
+	}
+	need := len(q.members)/2 + 1
+	if len(numbers) < need {
+		return 0
+	}
+	slices.Sort(numbers)
+	return numbers[len(numbers)-need]
+}
+
 // MajoritySince returns the latest time since which a majority of the members began exchanges in which they followed. ok is
 // false if fewer ever followed.
 func (q *Quorum) MajoritySince() (since time.Time, ok bool) {
