Give only a leader that was heard lately the time to renew the lead in a restored store

That it may have renewed the lead until then still counts for the time at which it has certainly stopped.

--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -93,6 +93,7 @@
 // memberState is what a member knows of its leader.
 type memberState struct {
 	heardAt           time.Time // last push, or what counts as one
+	restoredAt        time.Time // when the store was last found restored
 	toldAt            time.Time // when another instance last sent records of the lead or the owners
 	followedAt        time.Time // last push by the leader that it follows, or its start
 	followedEarlierAt time.Time // last push by a leader of a lower term, or its start
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -30,10 +30,8 @@
 	}
 	c.appending = true
 	earlier, known := c.leadership.Record()
-	renewed := c.leadership.RenewedAt()
-	if c.member.toldAt.After(renewed) {
-		renewed = c.member.toldAt
-	}
+	// The store may have lost renewals up to its restoration.
+	renewed := later(later(c.leadership.RenewedAt(), c.member.toldAt), c.member.restoredAt)
 	// This instance has no quorum until a renewal records its own members. A successor that finds only this claim, whose answer
 	// may be lost, waits for the earlier members.
 	end, _ := c.book.End(keyed.Place)
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -33,9 +33,13 @@
 }
 
 // noteEra notes that the known end of the place stream went from before to after. In a new era the holder of the lead records
-// lead and owners again; a successor would have to wait until all grants have ended. c.mu is held.
+// lead and owners again, unless it was silent before. c.mu is held.
 func (c *Coordinator) noteEra(now time.Time, before, after uint64) {
-	if keyed.Era(after) > keyed.Era(before) {
+	if keyed.Era(after) <= keyed.Era(before) {
+		return
+	}
+	c.member.restoredAt = now
+	if c.leader != nil || now.Sub(c.member.heardAt) < elect.LeaderTimeout {
 		c.leadership.MarkRestored(now)
 	}
 }
