Trust only owners that were distrusted

Found by reading the change that lets a successor ask for moves: when it trusted the recorded owners of one pool, ranges of another pool whose server was gone went back to that server. assign.TestTrustKeepsOthers failed before ("orders [grant grant] to a server that is gone").

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -105,6 +105,7 @@
 	notListening  bool        // the last order to the server that was sent found its address not listening
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	singledAt     time.Time   // when a move for its load left it with a single key
+	distrusted    bool        // the owner may not be the latest one
 	reassigned    bool        // this leader chose the owner
 	movingAfter   uint64      // number of the newest push when the range began to move
 }
@@ -155,7 +156,7 @@
 func (k *Assigner) DistrustOwners(now, inherited time.Time) {
 	var known spans.Map
 	for _, p := range k.ranges {
-		p.state, p.stateSince, p.target = unowned, now, p.Owner
+		p.state, p.stateSince, p.target, p.distrusted = unowned, now, p.Owner, true
 		known = append(known, p.Span)
 	}
 	for _, g := range known.Gaps() {
@@ -165,13 +166,16 @@
 
 // TrustOwners notes that the owners which DistrustOwners has marked are the latest ones after all, except those of moving ranges.
 func (k *Assigner) TrustOwners(now time.Time, moving []spans.Span) {
+	if !slices.ContainsFunc(k.ranges, func(p *keyRange) bool { return p.distrusted }) {
+		return
+	}
 	for _, s := range moving {
 		k.cutOut(now, s.First, s.Last)
 	}
 	for _, p := range k.ranges {
 		uncertain := slices.ContainsFunc(moving, func(s spans.Span) bool { return p.First <= s.Last && s.First <= p.Last })
-		if p.inherited && p.state == unowned && p.Server != "" && !uncertain {
-			p.state, p.stateSince, p.target = owned, now, spans.Owner{}
+		if p.distrusted && !uncertain {
+			p.state, p.stateSince, p.target, p.distrusted = owned, now, spans.Owner{}, false
 		}
 	}
 }
--- a/internal/place/assign/distrust_test.go
+++ b/internal/place/assign/distrust_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// Guards against keys that go back to a server that is gone, when the owners of another pool are found to be the latest ones.
+func TestTrustKeepsOthers(t *testing.T) {
+	c := &steadyPool{now: epoch, fence: 5}
+	c.Assigner = assign.New(spans.Map{{First: 0, Last: spans.Last, Owner: owner("a"), Fence: 5}}, &c.fence, epoch, epoch)
+	c.Observe(epoch, func(spans.Owner) (usable, gone bool) { return false, true })
+	c.TrustOwners(epoch, nil)
+	c.run(time.Second, accept)
+	if len(c.orders) > 0 {
+		t.Errorf("orders %v to a server that is gone", c.orders)
+	}
+}
+
 // Guards against keys that another server gets before a majority of the instances knows that they move: after a restoration of the
 // store nobody would know of it.
 func TestMoveWaitsForWitnesses(t *testing.T) {
