Let no instance vouch for records that a restored copy lacks

Found by reading the same change: an instance that was restarted from the copy compared the end of the stream there with the records of a leader that had not found the restoration yet. The end is of a newer era and counts as later, so that the instance would have told a successor that it knows all records of that leader: keys with two owners.

Only ends of the same era are compared. coord.TestNoReportFromCopy failed before ("report term:4, want one without a term").

--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -76,12 +76,13 @@
 	m.moving = append(m.moving[:len(m.moving):len(m.moving)], ranges...)
 }
 
-// settleMoving forgets the ranges of earlier pushes if the streams of a push are complete up to the records that its leader had made.
+// settleMoving forgets the ranges of earlier pushes if the streams of a push are complete up to the records that its leader had made. A
+// copy of the store in a newer era may lack some of them.
 func (c *Coordinator) settleMoving(r *sitepb.PushRequest) {
 	end, _ := c.book.End(keyed.Place)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.GetTerm() == c.member.term && r.GetNumber() == c.member.pushNumber && end > r.GetLeadOffset() {
+	if r.GetTerm() == c.member.term && r.GetNumber() == c.member.pushNumber && end > r.GetLeadOffset() && keyed.Era(end) == keyed.Era(r.GetLeadOffset()) {
 		c.member.noteMoving(r.GetMoving(), true)
 	}
 }
--- a/internal/place/coord/restored_test.go
+++ b/internal/place/coord/restored_test.go
@@ -79,3 +79,28 @@
 		return
 	}
 }
+
+// Guards against an instance that was restarted from the copy and vouches for records that the copy lacks: its end of the stream is of a
+// newer era than the records of the leader, which has not found the restoration yet.
+func TestNoReportFromCopy(t *testing.T) {
+	earlier, err := build.EncodeLead(elect.LeadRecord{Holder: "127.0.0.1:2", Term: 4, Members: []string{"127.0.0.1:1", "127.0.0.1:2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlier.Offset = keyed.Position(1, 0)
+	store := &fakeLog{era: 1, foreignPlace: keyed.Batch{Entries: []keyed.Entry{earlier}, End: keyed.Position(1, 1)}}
+	c, stop := start(netip.MustParseAddrPort("127.0.0.1:1"), store)
+	defer stop()
+	for begun := time.Now(); c.Handlers().OnPull(&sitepb.PullRequest{}).GetStreams() == nil; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("the streams are not read")
+		}
+	}
+	if r := c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:2", Term: 4, Number: 1, LeadOffset: 72}); r.GetStale() {
+		t.Fatal("the push of the earlier leader is stale")
+	}
+	r := c.Handlers().OnPush(&sitepb.PushRequest{From: "127.0.0.1:3", Term: 1 << 32, Number: 1})
+	if e := r.GetEarlier(); e == nil || e.GetTerm() != 0 {
+		t.Errorf("report %v, want one without a term", e)
+	}
+}
