--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -20,6 +20,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
+	"github.com/bramleycove/bramleycove/internal/place/recall"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
@@ -109,11 +110,8 @@
 	started           bool     // start has succeeded
 	startTerm         uint64   // newest term at that time
 
-	moving       []*sitepb.Range // ranges that its leader was moving, as far as it may lack the records of their new owners
-	completeTerm uint64          // newest term by whose leader's pushes it had all records, or which it led
-	earlier      *sitepb.Earlier // what it knew of the owners when it first followed a leader of earlierEra; nil before
-	earlierEra   uint64
-	earlierUntil time.Time // earlier is part of replies until then
+	memory      recall.Memory // of the moves of its leader
+	reportUntil time.Time     // its report is part of replies until then
 }
 
 // New returns a coordinator that does nothing until Run is called.
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -141,7 +141,7 @@
 	if r.GetStale() || r.GetTerm() != c.currentTerm() {
 		return
 	}
-	c.addSurveyReply(now, addr, r)
+	c.addReport(now, addr, r)
 	l.quorum.AddNumber(addr, pushNumber(r))
 	if r.GetStartTerm() < c.currentTerm() {
 		l.quorum.AddAck(addr, start, start)
@@ -192,7 +192,7 @@
 // stopLeading makes this instance a member, after a resignation or another instance's claim. c.mu is held.
 func (c *Coordinator) stopLeading(now time.Time) {
 	c.log.Warn("lead-lost", "term", c.currentTerm(), "unconfirmed", c.leadership.UnconfirmedFor(now))
-	c.member.moving, c.member.completeTerm = c.movingRanges(now), c.leader.term
+	c.member.memory.Complete(c.leader.term, decodeRanges(c.movingRanges(now)))
 	c.leader = nil
 	c.leadership.MarkLost()
 	c.member.followedAt = now // as leader it followed itself
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -169,7 +169,7 @@
 		}
 		if r.GetTerm() > c.member.term {
 			c.log.Info("leader", "leader", r.GetFrom(), "term", r.GetTerm())
-			c.noteEarlier(now, r.GetTerm())
+			c.keepReport(now, r.GetTerm())
 			c.member.pushNumber, c.member.followedEarlierAt = 0, c.member.followedAt
 		}
 		c.member.followedAt = now
@@ -184,7 +184,7 @@
 			c.member.leaseAge = time.Duration(r.GetUnconfirmedMs()) * time.Millisecond
 			c.leadership.ObserveRenewal(now, r.GetFrom(), r.GetTerm(), r.GetLeadOffset())
 			c.setMoving(r.GetMoving())
-			c.member.noteMoving(r.GetMoving(), false)
+			c.member.memory.Add(decodeRanges(r.GetMoving()))
 		}
 	}
 	peers := c.member.peers
@@ -216,9 +216,7 @@
 	if !stale {
 		r.Number = c.member.pushNumber
 	}
-	if c.cfg.Now().Before(c.member.earlierUntil) {
-		r.Earlier = c.member.earlier
-	}
+	r.Earlier = c.report(c.cfg.Now())
 	if !c.member.started {
 		// Before a restart it may have followed a newer leader that it has not read of yet.
 		r.StartTerm = r.Term
--- a/internal/place/coord/restore.go
+++ b/internal/place/coord/restore.go
@@ -10,9 +10,9 @@
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
-// earlierReportTime is how long replies to a new leader tell what this instance knows of the earlier leader's moves. Later the
-// earlier grants have ended in any case.
-const earlierReportTime = 5 * time.Second
+// reportTime is how long replies to a new leader tell what this instance knows of the earlier leader's moves. Later the earlier
+// grants have ended in any case.
+const reportTime = 5 * time.Second
 
 // firstNumber returns the lowest term and fence in the era of a position.
 func firstNumber(end uint64) uint64 { return elect.FirstNumber(keyed.Era(end)) }
@@ -66,16 +66,6 @@
 	return keyed.Era(end) != c.leader.recordedEra && !c.mayAct(now)
 }
 
-// noteMoving takes the ranges that a push names as moving. Those of earlier pushes are kept until this instance has all records that
-// the leader made before the push: then it knows the new owners. c.mu is held.
-func (m *memberState) noteMoving(ranges []*sitepb.Range, hasRecords bool) {
-	if hasRecords {
-		m.moving, m.completeTerm = ranges, m.term
-		return
-	}
-	m.moving = append(m.moving[:len(m.moving):len(m.moving)], ranges...)
-}
-
 // settleMoving forgets the ranges of earlier pushes if the streams of a push are complete up to the records that its leader had made. A
 // copy of the store in a newer era may lack some of them.
 func (c *Coordinator) settleMoving(r *sitepb.PushRequest) {
@@ -83,43 +73,44 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.GetTerm() == c.member.term && r.GetNumber() == c.member.pushNumber && end > r.GetLeadOffset() && keyed.Era(end) == keyed.Era(r.GetLeadOffset()) {
-		c.member.noteMoving(r.GetMoving(), true)
+		c.member.memory.Complete(r.GetTerm(), decodeRanges(r.GetMoving()))
 	}
 }
 
-// noteEarlier keeps what this instance knows of the owners before a leader of a term, if the store was restored since the leader
-// before. c.mu is held.
-func (c *Coordinator) noteEarlier(now time.Time, term uint64) {
-	era := elect.EraOf(term)
-	if era > elect.EraOf(c.member.term) && era > c.member.earlierEra {
-		c.member.earlierEra, c.member.earlier = era, &sitepb.Earlier{Moving: c.member.moving, Term: c.member.completeTerm}
-		for e, fence := range c.builder.EraFences {
+// keepReport keeps what this instance knows of the moves before a leader of a term, if the store was restored since the leader before.
+// c.mu is held.
+func (c *Coordinator) keepReport(now time.Time, term uint64) {
+	era, fence := elect.EraOf(term), uint64(0)
+	if era > elect.EraOf(c.member.term) {
+		for e, f := range c.builder.EraFences {
 			if e < era {
-				c.member.earlier.Fence = max(c.member.earlier.Fence, fence)
+				fence = max(fence, f)
 			}
 		}
+		c.member.memory.Keep(era, fence)
 	}
-	c.member.earlierUntil = now.Add(earlierReportTime)
+	c.member.reportUntil = now.Add(reportTime)
 }
 
 // beginSurvey asks the members of the earlier leader for the moves that the store may have lost. c.mu is held.
 func (c *Coordinator) beginSurvey(now time.Time, term uint64) {
 	l := c.leader
-	c.noteEarlier(now, term)
-	if elect.EraOf(l.earlierRecord.Term) == elect.EraOf(term) || c.member.earlier == nil {
+	c.keepReport(now, term)
+	own, ok := c.member.memory.Report()
+	if elect.EraOf(l.earlierRecord.Term) == elect.EraOf(term) || !ok {
 		return
 	}
-	l.survey = recall.New(l.earlierRecord.Members, decodeEarlier(c.member.earlier))
-	c.addReport(c.leadership.Self, c.member.startTerm, c.member.earlier)
+	l.survey = recall.NewSurvey(l.earlierRecord.Members, l.earlierRecord.Term, own)
+	l.survey.Add(c.leadership.Self, c.member.startTerm, own)
 }
 
-// addSurveyReply takes what a member that follows knows of the earlier leader's moves. c.mu is held.
-func (c *Coordinator) addSurveyReply(now time.Time, addr string, r *sitepb.PushReply) {
-	l := c.leader
-	if l.survey == nil || r.GetEarlier() == nil {
+// addReport takes what a member that follows knows of the earlier leader's moves. c.mu is held.
+func (c *Coordinator) addReport(now time.Time, addr string, r *sitepb.PushReply) {
+	l, e := c.leader, r.GetEarlier()
+	if l.survey == nil || e == nil {
 		return
 	}
-	c.addReport(addr, r.GetStartTerm(), r.GetEarlier())
+	l.survey.Add(addr, r.GetStartTerm(), recall.Report{Fence: e.GetFence(), Moving: decodeRanges(e.GetMoving()), Term: e.GetTerm()})
 	moving, ok, complete := l.survey.Result()
 	if !complete {
 		return
@@ -140,18 +131,22 @@
 	}
 }
 
-// addReport adds the report of an instance, unless it may have forgotten by a restart what it had told the earlier leader to know.
-// c.mu is held.
-func (c *Coordinator) addReport(addr string, startTerm uint64, e *sitepb.Earlier) {
-	if term := c.leader.earlierRecord.Term; startTerm < term || e.GetTerm() >= term {
-		c.leader.survey.Add(addr, decodeEarlier(e))
+// report returns what this instance tells a new leader of the earlier one, nil if there is nothing to tell. c.mu is held.
+func (c *Coordinator) report(now time.Time) *sitepb.Earlier {
+	r, ok := c.member.memory.Report()
+	if !ok || !now.Before(c.member.reportUntil) {
+		return nil
 	}
+	out := &sitepb.Earlier{Fence: r.Fence, Term: r.Term}
+	for _, m := range r.Moving {
+		out.Moving = append(out.Moving, &sitepb.Range{Pool: m.Pool, First: uint32(m.First), Last: uint32(m.Last)})
+	}
+	return out
 }
 
-func decodeEarlier(e *sitepb.Earlier) recall.Report {
-	out := recall.Report{Fence: e.GetFence()}
-	for _, r := range e.GetMoving() {
-		out.Moving = append(out.Moving, recall.Range{Pool: r.GetPool(), First: uint16(r.GetFirst()), Last: uint16(r.GetLast())})
+func decodeRanges(ranges []*sitepb.Range) (out []recall.Range) {
+	for _, r := range ranges {
+		out = append(out, recall.Range{Pool: r.GetPool(), First: uint16(r.GetFirst()), Last: uint16(r.GetLast())})
 	}
 	return out
 }
