Pull owners from all instances only when no leader gave the state

In a large deployment an instance that has just got it from the leader, or that waits for the leader's pushes, knows all 195 addresses. It does not ask any more; the leader knows what it is to know.

--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -38,13 +38,14 @@
 
 // start obtains all streams, or just the lead record. Until then the instance knows nothing and is not ready.
 func (c *Coordinator) start(ctx context.Context) {
-	done := c.startFromLeader(ctx) || c.startFromLeadRecord(ctx)
+	fromLeader := c.startFromLeader(ctx) || c.startFromLeadRecord(ctx)
+	done := fromLeader
 	for !done && ctx.Err() == nil {
 		if done = c.reader.ReadAll(ctx) || c.pullAny(ctx); !done {
 			reads.Sleep(ctx, storeReadInterval/2)
 		}
 	}
-	if c.mayLackOwners() {
+	if !fromLeader && c.mayLackOwners() {
 		c.pullAll(ctx)
 	}
 	end, _ := c.book.End(keyed.Place)
