--- a/internal/peer/reads/reads_test.go
+++ b/internal/peer/reads/reads_test.go
@@ -86,7 +86,7 @@
 		streams.Apply(topic, keyed.Batch{End: 2}, true)
 	}
 	r := &reads.Reader{Streams: streams, Now: time.Now, Log: keyed.Log{
-		Read: func(ctx context.Context, topic keyed.Topic, from uint64, wait time.Duration) (keyed.Batch, error) {
+		Read: func(ctx context.Context, _ keyed.Topic, _ uint64, wait time.Duration) (keyed.Batch, error) {
 			select {
 			case <-ctx.Done():
 				return keyed.Batch{}, ctx.Err()
--- a/internal/peer/relay/recover.go
+++ b/internal/peer/relay/recover.go
@@ -24,38 +24,12 @@
 	recoveryTimeout = 10 * time.Second
 )
 
-// eraTag is the first byte of an encoded Record with an Era: number 12, length-delimited.
-const eraTag = 12<<3 | 2
-
-// eraOf returns the era that a record begins, 0 for other records.
-func eraOf(data []byte) uint64 {
-	if len(data) == 0 || data[0] != eraTag {
-		return 0
-	}
-	return fold.Decode(data).GetEra().GetNumber()
-}
-
-// firstLost returns the lowest offset at which the log lost records since an era, and the newest era. Without one, lost is 0.
-func firstLost(eras []logsvc.Era, since uint64) (lost, newest uint64) {
-	newest = since
-	for _, e := range eras {
-		if e.Number <= since {
-			continue
-		}
-		newest = max(newest, e.Number)
-		if lost == 0 || e.First < lost {
-			lost = e.First
-		}
-	}
-	return lost, newest
-}
-
 // checkEras compares what was delivered with a log that was restored since the tail last read it, and appends again what the log
 // has lost. eras are those of an answer of src. An error means that the answer must not be used.
 func (t *Tail) checkEras(ctx context.Context, src Source, eras []logsvc.Era) error {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	lost, newest := firstLost(eras, t.era)
+	lost, newest := logsvc.FirstLost(eras, t.era)
 	want := t.Offset() + 1
 	if newest == t.era || want <= lost {
 		t.era = newest
@@ -108,7 +82,7 @@
 			}
 			mine, kept := t.keptRecord(rec.Offset)
 			// New records come after those that were appended again, and the first of them begins the era.
-			if eraOf(rec.Data) > t.era || kept && !bytes.Equal(mine, stripSnapshotState(rec.Data)) {
+			if fold.EraOf(rec.Data) > t.era || kept && !bytes.Equal(mine, stripSnapshotState(rec.Data)) {
 				if t.cfg.OnDiverged != nil {
 					t.cfg.OnDiverged(rec.Offset)
 				}
--- a/internal/peer/relay/tail.go
+++ b/internal/peer/relay/tail.go
@@ -233,7 +233,7 @@
 		if rec.Offset > want {
 			return errMissingRecords
 		}
-		if era := eraOf(rec.Data); era > 0 {
+		if era := fold.EraOf(rec.Data); era > 0 {
 			t.era, t.begunEra = max(t.era, era), max(t.begunEra, era)
 			if t.cfg.OnEra != nil {
 				t.cfg.OnEra(era)
--- a/internal/place/coord/restored_test.go
+++ b/internal/place/coord/restored_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/place/build"
+	"github.com/bramleycove/bramleycove/internal/place/coord"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
@@ -56,16 +57,22 @@
 	}
 }
 
-// Guards against an instance that was restarted after a restoration and counts for the quorum of a leader whose successor it followed
-// before: the store may have lost the successor's record.
-func TestNoWitnessBeforeRestoredStart(t *testing.T) {
+// startFromCopy starts an instance with a restored store whose copy has a lead of term 4.
+func startFromCopy(t *testing.T) (c *coord.Coordinator, stop func()) {
+	t.Helper()
 	earlier, err := build.EncodeLead(elect.LeadRecord{Holder: "127.0.0.1:2", Term: 4, Members: []string{"127.0.0.1:1", "127.0.0.1:2"}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	earlier.Offset = keyed.Position(1, 0)
 	store := &fakeLog{era: 1, foreignPlace: keyed.Batch{Entries: []keyed.Entry{earlier}, End: keyed.Position(1, 1)}}
-	c, stop := start(netip.MustParseAddrPort("127.0.0.1:1"), store)
+	return start(netip.MustParseAddrPort("127.0.0.1:1"), store)
+}
+
+// Guards against an instance that was restarted after a restoration and counts for the quorum of a leader whose successor it followed
+// before: the store may have lost the successor's record.
+func TestNoWitnessBeforeRestoredStart(t *testing.T) {
+	c, stop := startFromCopy(t)
 	defer stop()
 	const later = 1 << 40 // a term from which the answer of an instance that is still starting can be told
 	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
@@ -83,13 +90,7 @@
 // Guards against an instance that was restarted from the copy and vouches for records that the copy lacks: its end of the stream is of a
 // newer era than the records of the leader, which has not found the restoration yet.
 func TestNoReportFromCopy(t *testing.T) {
-	earlier, err := build.EncodeLead(elect.LeadRecord{Holder: "127.0.0.1:2", Term: 4, Members: []string{"127.0.0.1:1", "127.0.0.1:2"}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	earlier.Offset = keyed.Position(1, 0)
-	store := &fakeLog{era: 1, foreignPlace: keyed.Batch{Entries: []keyed.Entry{earlier}, End: keyed.Position(1, 1)}}
-	c, stop := start(netip.MustParseAddrPort("127.0.0.1:1"), store)
+	c, stop := startFromCopy(t)
 	defer stop()
 	for begun := time.Now(); c.Handlers().OnPull(&sitepb.PullRequest{}).GetStreams() == nil; time.Sleep(time.Millisecond) {
 		if time.Since(begun) > 20*time.Second {
--- a/internal/place/fold/fold.go
+++ b/internal/place/fold/fold.go
@@ -99,6 +99,17 @@
 	return rec
 }
 
+// eraTag is the first byte of an encoded Record with an Era: number 12, length-delimited.
+const eraTag = 12<<3 | 2
+
+// EraOf returns the era of the log that an encoded record begins, 0 for other records.
+func EraOf(data []byte) uint64 {
+	if len(data) == 0 || data[0] != eraTag {
+		return 0
+	}
+	return Decode(data).GetEra().GetNumber()
+}
+
 // HasGap reports whether records between offset, the last one applied, and first, the oldest one retained, are lost.
 func HasGap(offset, first uint64) bool { return first > offset+1 }
 
--- a/internal/plat/logsvc/era.go
+++ b/internal/plat/logsvc/era.go
@@ -15,6 +15,21 @@
 	Number, First uint64
 }
 
+// FirstLost returns the lowest offset at which the log lost records since an era, and the newest era. Without one, lost is 0.
+func FirstLost(eras []Era, since uint64) (lost, newest uint64) {
+	newest = since
+	for _, e := range eras {
+		if e.Number <= since {
+			continue
+		}
+		newest = max(newest, e.Number)
+		if lost == 0 || e.First < lost {
+			lost = e.First
+		}
+	}
+	return lost, newest
+}
+
 // Headers of all answers of a log that was restored: its eras as NUMBER=FIRST, oldest first, and the age of the newest in
 // milliseconds.
 const (
