Keep the known end of the stream when all servers of a restored store are read

Removals after the end known before were never read, and servers that the store had lost counted as known at the new end, which is later than their removal: a server that left at that moment stayed in use.

The end stays, so that what was written since is read from there. reads.TestRestoredLeftMeanwhile failed before ("the server "lives", which has left, is known").

--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -137,6 +137,8 @@
 	if err != nil || keyed.Era(batch.End) != era {
 		return false
 	}
+	// What was written after the known end, removals above all, is still to be read from there.
+	batch.End, _ = r.Streams.End(keyed.Servers)
 	r.Streams.Apply(keyed.Servers, batch, false)
 	r.mu.Lock()
 	r.serversEra = era
--- a/internal/peer/reads/reads_test.go
+++ b/internal/peer/reads/reads_test.go
@@ -78,6 +78,37 @@
 	}
 }
 
+// Guards against a server that stays known although it left while all servers were read: the records after the known end are still to
+// be read.
+func TestRestoredLeftMeanwhile(t *testing.T) {
+	streams := &mirror.Streams{IsStale: func(_ keyed.Topic, _ string, known, value []byte) bool { return string(value) == string(known) }}
+	streams.Apply(keyed.Servers, keyed.Batch{Entries: []keyed.Entry{{Key: "leaves", Offset: 4, Value: []byte("x")}, {Key: "lives", Offset: 5, Value: []byte("x")}}, End: 10}, true)
+	end := keyed.Position(1, 8)
+	streams.Apply(keyed.Servers, keyed.Batch{End: end}, false)
+	now, left := time.Unix(1000, 0), false
+	r := &reads.Reader{Streams: streams, Now: func() time.Time { return now }, Log: keyed.Log{
+		Read: func(_ context.Context, _ keyed.Topic, from uint64, _ time.Duration) (keyed.Batch, error) {
+			if left && from == end {
+				return keyed.Batch{Entries: []keyed.Entry{{Key: "leaves", Offset: end}, {Key: "lives", Offset: end + 1}}, End: end + 2}, nil
+			}
+			return keyed.Batch{End: from}, nil
+		},
+		Newest: func(context.Context, keyed.Topic) (keyed.Batch, error) {
+			left = true
+			return keyed.Batch{Entries: []keyed.Entry{{Key: "lives", Offset: keyed.Position(1, 5), Value: []byte("x")}}, End: end + 2}, nil
+		},
+	}}
+	for range 8 {
+		r.ReadServers(context.Background())
+		now = now.Add(500 * time.Millisecond)
+	}
+	for _, key := range []string{"leaves", "lives"} {
+		if len(streams.Get(keyed.Servers, key).Value) > 0 {
+			t.Errorf("the server %q, which has left, is known", key)
+		}
+	}
+}
+
 // Guards against tables that a restored store gets and that the leader reads late: it waits for records after an offset of before, which
 // the store has not given out again yet.
 func TestRestoredTablesAwaited(t *testing.T) {
