--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -468,7 +468,7 @@
 			inFlight[p.Owner]++
 			nonRenewals++
 			out = append(out, Order{Kind: Release, Span: p.Span})
-		case p.reassigned && p.fenceUnused && k.WitnessedPush <= p.movingAfter:
+		case p.reassigned && p.fenceUnused && k.WitnessedPush <= p.movingAfter: // no majority knows of the move yet
 		case (p.state == owned || p.state == announced) && !p.unrecorded && now.Sub(p.renewedAt) >= renewInterval && (p.fenceUnused || !renewing[p.Owner]):
 			p.inFlight = true
 			if !renewal {
