--- a/internal/peer/mirror/mirror_test.go
+++ b/internal/peer/mirror/mirror_test.go
@@ -151,11 +151,11 @@
 	put("s2", 3, "b0") // a change, then a heartbeat
 	put("s2", 4, "b1")
 	for from, want := range []int{2, 1, 1, 1, 0} {
-		if batch, _ := b.EntriesFrom(keyed.Servers, uint64(from)); len(batch.Entries) != want {
+		if batch, _, _ := b.EntriesFrom(keyed.Servers, uint64(from)); len(batch.Entries) != want {
 			t.Errorf("from %d: %v, want %d entries", from, batch.Entries, want)
 		}
 	}
-	if batch, _ := b.EntriesFrom(keyed.Servers, 2); string(batch.Entries[0].Value) != "b1" || batch.End != 5 {
+	if batch, _, _ := b.EntriesFrom(keyed.Servers, 2); string(batch.Entries[0].Value) != "b1" || batch.End != 5 {
 		t.Errorf("from 2: got %v", batch)
 	}
 }
--- a/internal/peer/mirror/restored_test.go
+++ b/internal/peer/mirror/restored_test.go
@@ -63,7 +63,7 @@
 		b.Apply(keyed.Config, keyed.Batch{Entries: []keyed.Entry{entry("config", restored(2), "v4")}, End: restored(3)}, true)
 	}
 	end, _ := started.End(keyed.Config)
-	batch, _ := leader.EntriesFrom(keyed.Config, end)
+	batch, _, _ := leader.EntriesFrom(keyed.Config, end)
 	started.Apply(keyed.Config, batch, false)
 	if got := started.Get(keyed.Config, "config"); string(got.Value) != "v5" {
 		t.Errorf("tables are %q, want those that the leader kept", got.Value)
@@ -89,7 +89,7 @@
 	pushed, _ := leader.ChangesAfter(keyed.Config, known)
 	successor.Apply(keyed.Config, pushed, false)
 	end, _ := started.End(keyed.Config)
-	batch, _ := successor.EntriesFrom(keyed.Config, end)
+	batch, _, _ := successor.EntriesFrom(keyed.Config, end)
 	started.Apply(keyed.Config, batch, false)
 	if got := started.Get(keyed.Config, "config"); string(got.Value) != "v5" {
 		t.Errorf("tables are %q, want those that the successor knows", got.Value)
--- a/internal/peer/mirror/streams.go
+++ b/internal/peer/mirror/streams.go
@@ -33,10 +33,11 @@
 // stream holds the newest entry of each key, including dropped keys: a late copy of an older record must not restore a
 // dropped key.
 type stream struct {
-	end    uint64
-	loaded bool
-	seq    uint64 // number of changes so far
-	items  map[string]item
+	end          uint64
+	loaded       bool
+	completeFrom uint64 // items has all keys that were dropped after this offset, and only some of those dropped before
+	seq          uint64 // number of changes so far
+	items        map[string]item
 }
 
 // item is an entry with the number of its last pushed change and the offset of its last change.
@@ -64,6 +65,7 @@
 	b.applyMu.Lock()
 	defer b.applyMu.Unlock()
 	if snapshot {
+		b.MarkSnapshot(topic, batch.End)
 		// A key that the snapshot doesn't list was dropped before its end.
 		batch.Entries = append(slices.Clip(batch.Entries), b.Removals(topic, batch)...)
 	}
@@ -171,19 +173,30 @@
 	return out
 }
 
+// MarkSnapshot notes that the records before end were read as a snapshot, which does not name the keys that were dropped before.
+func (b *Streams) MarkSnapshot(topic keyed.Topic, end uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := &b.streams[topic]
+	s.completeFrom = max(s.completeFrom, end)
+}
+
 // EntriesFrom returns the entries that changed at or after an offset, including dropped keys, and the number of the last
-// change. Heartbeats are left out: otherwise a new leader would send all servers to each instance.
-func (b *Streams) EntriesFrom(topic keyed.Topic, offset uint64) (batch keyed.Batch, last uint64) {
+// change. Heartbeats are left out: otherwise a new leader would send all servers to each instance. If the local copy may lack keys
+// that were dropped since, it returns all entries, as a snapshot; but not if the store was restored since, as live servers may be
+// missing in it.
+func (b *Streams) EntriesFrom(topic keyed.Topic, offset uint64) (batch keyed.Batch, last uint64, snapshot bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &b.streams[topic]
+	snapshot = offset < s.completeFrom && keyed.Era(offset) == keyed.Era(s.completeFrom)
 	out := keyed.Batch{End: s.end}
 	for _, e := range s.items {
-		if e.changeOffset >= offset || e.kept {
+		if e.changeOffset >= offset || e.kept || snapshot {
 			out.Entries = append(out.Entries, e.Entry)
 		}
 	}
-	return out, s.seq
+	return out, s.seq, snapshot
 }
 
 // LastChange returns the number of the last change of a topic.
--- a/internal/peer/push/push.go
+++ b/internal/peer/push/push.go
@@ -268,13 +268,13 @@
 	if e, ok := cache[key]; ok {
 		return e.Stream, e.lastSeq
 	}
-	var batch keyed.Batch
+	batch, snapshot := keyed.Batch{}, key.state == stateEmpty
 	if key.state == stateBehind {
-		batch, lastSeq = p.Streams.EntriesFrom(key.topic, key.from)
+		batch, lastSeq, snapshot = p.Streams.EntriesFrom(key.topic, key.from)
 	} else {
 		batch, lastSeq = p.Streams.ChangesAfter(key.topic, key.from)
 	}
-	s = stream.Encode(key.topic, batch, key.state == stateEmpty)
+	s = stream.Encode(key.topic, batch, snapshot)
 	cache[key] = cachedStream{s, lastSeq}
 	return s, lastSeq
 }
--- a/internal/peer/push/push_test.go
+++ b/internal/peer/push/push_test.go
@@ -148,3 +148,25 @@
 	streams.Apply(keyed.Servers, singleEntry("a", 500, []byte("heartbeat")), false)
 	pushUntil(t, p, 3*time.Second, func() bool { return end() == 501 })
 }
+
+// Guards against a server that was removed while the leader was restarted and stays in use elsewhere: the leader read the servers when the
+// removal had been made, and has never known that server.
+func TestRemovedWhileLeaderRestarted(t *testing.T) {
+	m := startMember(t)
+	for topic := range keyed.TopicCount {
+		m.streams.Apply(topic, singleEntry("removed", 3, []byte("x")), true)
+	}
+	restarted := new(mirror.Streams)
+	for topic := range keyed.TopicCount {
+		restarted.Apply(topic, keyed.Batch{Entries: []keyed.Entry{{Key: "lives", Offset: 4, Value: []byte("y")}}, End: 5}, true)
+	}
+	p := newPusher(restarted)
+	p.AddPeer(time.Now(), m.addr)
+	pushUntil(t, p, 2*time.Second, func() bool {
+		end, _ := m.streams.End(keyed.Servers)
+		return end == 5
+	})
+	if len(m.streams.Get(keyed.Servers, "removed").Value) > 0 || len(m.streams.Get(keyed.Servers, "lives").Value) == 0 {
+		t.Errorf("removed %q, lives %q", m.streams.Get(keyed.Servers, "removed").Value, m.streams.Get(keyed.Servers, "lives").Value)
+	}
+}
--- a/internal/peer/reads/reads.go
+++ b/internal/peer/reads/reads.go
@@ -100,6 +100,7 @@
 	restored := keyed.Era(batch.End) > keyed.Era(end)
 	if snapshot && !restored {
 		batch.Entries = append(batch.Entries, r.Streams.Removals(keyed.Servers, batch)...)
+		r.Streams.MarkSnapshot(keyed.Servers, batch.End)
 	}
 	r.mu.Lock()
 	now := r.Now()
