--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -125,6 +125,13 @@
 	return d.cmd.Process.Pid
 }
 
+// kill ends the running process. It is started again.
+func (d *Daemon) kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Kill() // it may have ended
+}
+
 func (d *Daemon) stop() {
 	d.mu.Lock()
 	d.stopping = true
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(f *Fleet, trouble bool) (broken bool, why string, err error){
 	"longkey":  playLongKey,
 	"attempts": playAttempts,
+	"bigbody":  playBigBody,
 }
 
 func main() {
