Review: show a request that crashes one server after the other

The case takes the place of the second runs of routes with max-attempts 1, a lesser fault that the report keeps.

--- a/review/stand/bigbody.go
+++ b/review/stand/bigbody.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// playBigBody lets more clients than usual come at once. Their requests have bodies of 5 MB.
+// playBigBody lets more clients than usual come at once, whose requests have bodies of 5 MB. Others send short requests all the time.
 func playBigBody(f *Fleet, trouble bool) (broken bool, why string, err error) {
 	const (
 		usualClients = 8 // of each daemon
@@ -54,6 +54,8 @@
 		bursts       = 4
 		burstLength  = 3 * time.Second
 		calm         = 4 * time.Second
+		// At this rate, 20 clients use four tenths of a link of 1,000 Mbit/s.
+		rate = 2500000 // bytes per second of each client
 	)
 	body := strings.Repeat("x", 5<<20)
 	if err := f.Publish(12, []Route{{Name: "r-order", Prefix: "/order/", Service: "skaereordre", Timeout: 6 * time.Second, MaxAttempts: 2}}, []string{"skaereordre"}, nil); err != nil {
@@ -67,7 +69,7 @@
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	send := func(d *Daemon, stop <-chan struct{}) {
+	send := func(d *Daemon, body string, stop <-chan struct{}) {
 		c := &Conn{Clients: f.Clients, Daemon: d}
 		for {
 			select {
@@ -75,7 +77,7 @@
 				return
 			case <-time.After(100 * time.Millisecond):
 			}
-			if x := c.Do(Request{Method: "PUT", Path: "/order/7", Key: -1, Body: body, Deadline: 6 * time.Second}); x.Status != 200 {
+			if x := c.Do(Request{Method: "PUT", Path: "/order/7", Key: -1, Body: body, Deadline: 6 * time.Second, Rate: rate}); x.Status != 200 {
 				time.Sleep(300 * time.Millisecond)
 			}
 		}
@@ -83,7 +85,8 @@
 	for _, d := range f.Daemons {
 		wg.Go(func() { d.limitMemory(stop) })
 		for range usualClients {
-			wg.Go(func() { send(d, stop) })
+			wg.Go(func() { send(d, body, stop) })
+			wg.Go(func() { send(d, "2 m", stop) })
 		}
 	}
 	for range bursts {
@@ -93,7 +96,7 @@
 			f.Record.Note("%d more clients come to each daemon", burstClients-usualClients)
 			for _, d := range f.Daemons {
 				for range burstClients - usualClients {
-					wg.Go(func() { send(d, ended) })
+					wg.Go(func() { send(d, body, ended) })
 				}
 			}
 		}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,9 +10,9 @@
 
 // cases returns whether the rule was broken, and a line that says why.
 var cases = map[string]func(f *Fleet, trouble bool) (broken bool, why string, err error){
-	"longkey":  playLongKey,
-	"attempts": playAttempts,
-	"bigbody":  playBigBody,
+	"longkey": playLongKey,
+	"bigbody": playBigBody,
+	"poison":  playPoison,
 }
 
 func main() {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -24,17 +23,21 @@
 	ID, Service, Zone string
 	Address           netip.AddrPort
 	Work              time.Duration // of each request
-	// FailPercent is the part of the requests that run and end with status 500.
-	FailPercent atomic.Int64
 
 	store  *Store
 	record *Record
 	born   int64
 	slots  chan struct{}
+	http   *http.Server
+	ended  chan struct{} // closed when the process has crashed
+	// crashes says whether a request makes the process crash once it has sent the first part of the answer. It may be nil.
+	crashes func(r *http.Request) bool
+	// onCrash is called once after the crash.
+	onCrash func()
 
 	mu     sync.Mutex
+	down   bool
 	busy   int
-	begun  int64
 	holds  []hold
 	fences []hold
 }
@@ -50,27 +53,60 @@
 
 // NewServer starts a server that registers itself with every heartbeat.
 func NewServer(store *Store, record *Record, id, service, zone string, work time.Duration) (*Server, error) {
+	s := &Server{ID: id, Service: service, Zone: zone, Work: work, store: store, record: record}
+	return s, s.Start()
+}
+
+// Start listens on a free port and registers the server.
+func (s *Server) Start() error {
 	ln, addr, err := listen()
 	if err != nil {
-		return nil, err
-	}
-	s := &Server{
-		ID: id, Service: service, Zone: zone, Address: addr, Work: work, store: store, record: record, born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, slots),
+		return err
 	}
+	s.Address, s.born, s.slots, s.ended = addr, time.Now().UnixMilli(), make(chan struct{}, slots), make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /bramleycove/grant", s.grant)
 	mux.HandleFunc("POST /bramleycove/release", s.release)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Bramleycove-Instance-Id", s.ID) })
 	mux.HandleFunc("/", s.serve)
-	go func() { _ = http.Serve(ln, mux) }()
+	s.http = &http.Server{Handler: mux}
+	go func() { _ = s.http.Serve(ln) }()
 	go func() {
 		for seq := 1; ; seq++ {
 			s.register(seq)
-			time.Sleep(heartbeat)
+			select {
+			case <-s.ended:
+				// The store removes the entry after three heartbeats of silence.
+				time.Sleep(3 * heartbeat)
+				s.store.Put("keyed.servers", s.ID, "")
+				return
+			case <-time.After(heartbeat):
+			}
 		}
 	}()
-	return s, nil
+	return nil
+}
+
+// crash sends the first part of an answer and ends the process: its listener and all its connections.
+func (s *Server) crash(w http.ResponseWriter, id string) {
+	conn, bw, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\nX-Bramleycove-Request-Id: %s\r\nX-Bramleycove-Server-Stamp: %s.%s\r\nContent-Length: 1000\r\n\r\npart", id, s.ID, id)
+		_ = bw.Flush()
+	}
+	s.mu.Lock()
+	first := !s.down
+	s.down = true
+	s.mu.Unlock()
+	if first {
+		s.record.Note("crash of %s", s.ID)
+		close(s.ended)
+		_ = s.http.Close()
+		s.onCrash()
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
 }
 
 func (s *Server) register(seq int) {
@@ -160,9 +196,6 @@
 		return
 	}
 	s.busy++
-	s.begun++
-	percent := s.FailPercent.Load()
-	fails := s.begun*percent/100 > (s.begun-1)*percent/100
 	s.mu.Unlock()
 	s.slots <- struct{}{}
 	s.record.Run(id, s.ID, r.Method+" "+r.RequestURI)
@@ -171,9 +204,10 @@
 	s.mu.Lock()
 	s.busy--
 	s.mu.Unlock()
-	w.Header().Set("X-Bramleycove-Server-Stamp", s.ID+"."+id)
-	if fails {
-		w.WriteHeader(http.StatusInternalServerError)
+	if s.crashes != nil && s.crashes(r) {
+		s.crash(w, id)
+		return
 	}
+	w.Header().Set("X-Bramleycove-Server-Stamp", s.ID+"."+id)
 	_, _ = fmt.Fprintf(w, "%s by %s\n", id, s.ID) // the caller may be gone
 }
