Review: bring the repeated answers of case 4 inside the site's dose

The site gives extra late answers x = 0.03 and 5 s; the case had x = 0.05, which is that of answers without length, for 96 s.

--- a/review/stand/keyed.go
+++ b/review/stand/keyed.go
@@ -117,6 +117,9 @@
 			return
 		}
 		isOrder := r.URL.Path == "/bramleycove/grant" || r.URL.Path == "/bramleycove/release"
+		if s.RepeatShare(s.number) == 0 {
+			again = nil
+		}
 		if isOrder && again != nil {
 			s.record.Note("%s sends an earlier answer once more, before it has answered %s %s", s.ID, r.URL.Path, body)
 			if err := again.write(conn); err != nil {
--- a/review/stand/orders.go
+++ b/review/stand/orders.go
@@ -11,12 +11,14 @@
 // playOrders lets servers send some of their answers to orders once more, late. Busy keys change, so that the leader moves keys.
 func playOrders(f *Fleet, trouble bool) (broken bool, why string, err error) {
 	const (
-		clientsPerDaemon = 10
-		servers          = 12
-		repeatServers    = 7 // of them
-		repeatShare      = 0.05
-		length           = 96 * time.Second
-		hotTime          = 3 * time.Second
+		clientsPerDaemon = 14
+		servers          = 20
+		repeatServers    = 12 // of them
+		repeatShare      = 0.03
+		spells           = 17
+		spellLength      = 5 * time.Second // in which answers are repeated
+		spellPause       = time.Second
+		hotTime          = 4 * time.Second
 		hotShare         = 0.4
 		hotKeys          = 60
 	)
@@ -27,10 +29,10 @@
 	p := &Pool{
 		Service: "netkatalog", store: f.Store, record: f.Record,
 		Work: func() time.Duration {
-			if rand.IntN(4) == 0 {
-				return 500 * time.Millisecond
+			if rand.IntN(20) < 3 {
+				return 600 * time.Millisecond
 			}
-			return 60 * time.Millisecond
+			return 82 * time.Millisecond
 		},
 		RepeatShare: func(server int) float64 {
 			if repeats.Load() && server < repeatServers {
@@ -48,7 +50,6 @@
 		return false, "", err
 	}
 	time.Sleep(3 * time.Second)
-	repeats.Store(trouble)
 	var hot atomic.Int64
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -71,9 +72,24 @@
 			})
 		}
 	}
-	for begin := time.Now(); time.Since(begin) < length; time.Sleep(hotTime) {
-		hot.Store(int64(rand.IntN(65536 - hotKeys)))
-		f.Record.Note("keys %d to %d are busy", hot.Load(), hot.Load()+hotKeys-1)
+	wg.Go(func() {
+		for {
+			hot.Store(int64(rand.IntN(65536 - hotKeys)))
+			f.Record.Note("keys %d to %d are busy", hot.Load(), hot.Load()+hotKeys-1)
+			select {
+			case <-stop:
+				return
+			case <-time.After(hotTime):
+			}
+		}
+	})
+	for range spells {
+		repeats.Store(trouble)
+		f.Record.Note("servers repeat answers: %v", trouble)
+		time.Sleep(spellLength)
+		repeats.Store(false)
+		f.Record.Note("servers repeat answers: false")
+		time.Sleep(spellPause)
 	}
 	close(stop)
 	wg.Wait()
