--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -42,8 +42,13 @@
 	Key          int // -1 without one
 	Body         string
 	Deadline     time.Duration
+	// Rate is how fast the body is sent, in bytes per second; 0 means without a limit.
+	Rate int
 }
 
+// chunkInterval is the time between the parts of a body that is sent at a limited rate.
+const chunkInterval = 20 * time.Millisecond
+
 // Conn is a client's connection to a daemon. It is not safe for concurrent use.
 type Conn struct {
 	*Clients
@@ -93,12 +98,15 @@
 	if q.Body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
 	}
-	b.WriteString("\r\n" + q.Body)
+	b.WriteString("\r\n")
 	c.record.Note("send %s to %s: %s %s, body %d bytes, kept %v", x.ID, x.Daemon, q.Method, q.Path, len(q.Body), x.Kept)
 	_ = c.conn.SetDeadline(time.Now().Add(q.Deadline + time.Second))
 	if _, err := io.WriteString(c.conn, b.String()); err != nil {
 		return err
 	}
+	if err := c.sendBody(q); err != nil {
+		return err
+	}
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: q.Method})
 	if err != nil {
 		return err
@@ -113,3 +121,20 @@
 	}
 	return nil
 }
+
+func (c *Conn) sendBody(q Request) error {
+	part := len(q.Body)
+	if q.Rate > 0 {
+		part = q.Rate * int(chunkInterval) / int(time.Second)
+	}
+	for rest := q.Body; rest != ""; {
+		n := min(part, len(rest))
+		if _, err := io.WriteString(c.conn, rest[:n]); err != nil {
+			return err
+		}
+		if rest = rest[n:]; rest != "" {
+			time.Sleep(chunkInterval)
+		}
+	}
+	return nil
+}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -118,6 +118,20 @@
 	return d.ownEnds
 }
 
+// Pid returns the id of the running process.
+func (d *Daemon) Pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
+
+// kill ends the running process. It is started again.
+func (d *Daemon) kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Kill() // it may have ended
+}
+
 func (d *Daemon) stop() {
 	d.mu.Lock()
 	d.stopping = true
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,7 +11,7 @@
 // cases returns whether the rule was broken, and a line that says why.
 var cases = map[string]func(f *Fleet, trouble bool) (broken bool, why string, err error){
 	"longkey": playLongKey,
-	"orders":  playOrders,
+	"bigbody": playBigBody,
 	"poison":  playPoison,
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -17,7 +18,7 @@
 	slots       = 3
 )
 
-// Server is a stand-in of a backend server of a service without keys.
+// Server is a stand-in of a backend server.
 type Server struct {
 	ID, Service, Zone string
 	Address           netip.AddrPort
@@ -34,9 +35,20 @@
 	// onCrash is called once after the crash.
 	onCrash func()
 
-	mu   sync.Mutex
-	down bool
-	busy int
+	mu     sync.Mutex
+	down   bool
+	busy   int
+	holds  []hold
+	fences []hold
+}
+
+// hold is a range of keys with the fencing token and the end of its lease.
+type hold struct {
+	First int     `json:"from"`
+	Last  int     `json:"target"`
+	Fence uint64  `json:"fence"`
+	Hold  float64 `json:"hold-s"`
+	until time.Time
 }
 
 // NewServer starts a server that registers itself with every heartbeat.
@@ -53,13 +65,15 @@
 	}
 	s.Address, s.born, s.slots, s.ended = addr, time.Now().UnixMilli(), make(chan struct{}, slots), make(chan struct{})
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /bramleycove/grant", s.grant)
+	mux.HandleFunc("POST /bramleycove/release", s.release)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Bramleycove-Instance-Id", s.ID) })
 	mux.HandleFunc("/", s.serve)
 	s.http = &http.Server{Handler: mux}
 	go func() { _ = s.http.Serve(ln) }()
 	go func() {
 		for seq := 1; ; seq++ {
-			register(s.store, s.ID, s.Service, s.Address, s.Zone, seq, s.born)
+			s.register(seq)
 			select {
 			case <-s.ended:
 				// The store removes the entry after three heartbeats of silence.
@@ -95,15 +109,70 @@
 	}
 }
 
-// register writes a server's entry into the store.
-func register(store *Store, id, service string, addr netip.AddrPort, zone string, seq int, born int64) {
+func (s *Server) register(seq int) {
 	value, err := json.Marshal(map[string]any{
-		"service": service, "address": addr.String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold-left-s": 0,
-		"seq": seq, "born": born,
+		"service": s.Service, "address": s.Address.String(), "zone": s.Zone, "version": "v1", "slots": slots, "state": "ready", "cold-left-s": 0,
+		"seq": seq, "born": s.born,
 	})
 	if err == nil {
-		store.Put("keyed.servers", id, string(value))
+		s.store.Put("keyed.servers", s.ID, string(value))
+	}
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var h hold
+	arrival := time.Now()
+	if err := json.NewDecoder(r.Body).Decode(&h); err != nil || h.Hold <= 0 || h.First > h.Last {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h.until = arrival.Add(time.Duration(h.Hold * float64(time.Second)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.fences {
+		if f.First <= h.Last && h.First <= f.Last && f.Fence > h.Fence {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	s.drop(h)
+	s.holds, s.fences = append(s.holds, h), append(s.fences, h)
+}
+
+// drop ends the holds of a range; parts outside it go on. s.mu is held.
+func (s *Server) drop(r hold) {
+	var kept []hold
+	for _, h := range s.holds {
+		for _, part := range [][2]int{{h.First, min(h.Last, r.First-1)}, {max(h.First, r.Last+1), h.Last}} {
+			if part[0] <= part[1] {
+				n := h
+				n.First, n.Last = part[0], part[1]
+				kept = append(kept, n)
+			}
+		}
+	}
+	s.holds = kept
+}
+
+func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	var h hold
+	if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.drop(h)
+	s.mu.Unlock()
+	w.Header().Set("X-Bramleycove-Handover", fmt.Sprintf("%s-%d", s.ID, h.Fence))
+}
+
+func (s *Server) holdsKey(key int, now time.Time) bool {
+	for _, h := range s.holds {
+		if h.First <= key && key <= h.Last && now.Before(h.until) {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -114,9 +183,10 @@
 		w.Header().Set("X-Bramleycove-Not-Run", "1")
 		w.WriteHeader(status)
 	}
+	key, err := strconv.Atoi(r.Header.Get("X-Bramleycove-Shard-Key"))
 	s.mu.Lock()
 	switch {
-	case expect != "" && expect != s.ID:
+	case expect != "" && expect != s.ID, err == nil && !s.holdsKey(key, time.Now()):
 		s.mu.Unlock()
 		refuse(http.StatusMisdirectedRequest)
 		return
