Send renewals only on the connection on which the server accepted the fence

Cause: a renewal was held back only if the client found a closed connection at that moment. A trace of orders and connections shows a first grant after the crash that found and dropped the closed connection and opened one to the next process; the renewal that followed found nothing closed and was sent there. It was the same after a release, and when the server had closed the connection in the regular way before its crash.

A connection reaches one process for as long as it is open. The leader now remembers for each range the connection on which its fence was accepted, and a renewal goes out there or not at all; then the keys get a new fence, as after any failed grant. Grants to one server share one connection, one after the other, so that a first grant doesn't cost the others theirs. Releases have their own.

--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -57,7 +57,7 @@
 	ReadAnswer        func(h *fasthttp.Response) sender.Reply
 	WriteAnswer       func(h *fasthttp.Response, a *work.Answer, id string)
 	ServerConnOptions conns.Options
-	Grant             func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal bool) assign.Result
+	Grant             func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal assign.Session) (assign.Result, assign.Session)
 	Release           func(ctx context.Context, addr netip.AddrPort, s spans.Span) (assign.Result, string)
 	Logger            *events.Logger
 }
--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -26,7 +26,7 @@
 	// retryDelay is the pause before an order is repeated after a failure.
 	retryDelay = 250 * time.Millisecond
 	// maxOrdersPerServer bounds the first grants and releases in flight to one server. The client has that many connections
-	// to each server, and an order beyond them fails.
+	// for releases to each server, and an order beyond them fails. Grants wait for one another.
 	maxOrdersPerServer = 4
 	// maxNonRenewals bounds the first grants and releases that one call of DueOrders returns. A leader that sent 1,460 of
 	// them at once saturated the link between regions for half a second, and its pushes to the relays failed.
@@ -45,6 +45,10 @@
 	Release
 )
 
+// Session identifies the connection on which a server accepted a grant, among those of this leader to the same address. It ends
+// with the server's process at the latest. 0 is none.
+type Session uint64
+
 // Order is a grant or release of a range of keys, to be sent to its owner.
 type Order struct {
 	Kind
@@ -53,6 +57,8 @@
 	// Renewal is true if a grant with this fence may have been accepted before. Renewals to one server must be sent one by
 	// one, stopping at the first failure: a restarted server must not get a fence that its earlier process had.
 	Renewal bool
+	// Session is where a renewal must be sent. For Finish it is where the order was sent.
+	Session Session
 }
 
 // Result is the outcome of an order. The zero value is a failure without an answer.
@@ -104,6 +110,7 @@
 	lastFailed    bool        // the last order failed
 	notListening  bool        // the last order to the server that was sent found its address not listening
 	fenceUnused   bool        // no server can have accepted a grant with this fence
+	session       Session     // on which the owner accepted the fence
 	singledAt     time.Time   // when a move for its load left it with a single key
 	distrusted    bool        // the owner may not be the latest one
 	reassigned    bool        // this leader chose the owner
@@ -475,7 +482,11 @@
 				inFlight[p.Owner]++
 				nonRenewals++
 			}
-			out = append(out, Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal})
+			o := Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal}
+			if renewal {
+				o.Session = p.session
+			}
+			out = append(out, o)
 		}
 	}
 	return out
@@ -541,7 +552,7 @@
 	expiry := now.Add(time.Duration(float64(o.Duration)*(1+maxClockDrift)) + grantMargin)
 	if res == Accepted {
 		p.heldUntil = later(p.heldUntil, expiry)
-		p.renewedAt, p.lastFailed, p.fenceUnused = start, false, false
+		p.renewedAt, p.lastFailed, p.fenceUnused, p.session = start, false, false, o.Session
 		// The fence is above those of all unanswered grants and of earlier leaders' grants, so the server now refuses them.
 		p.lateUntil, p.fencesEarlier = time.Time{}, true
 		return
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -19,6 +19,7 @@
 // server is a backend server with leases of its own, whose clock may be slow.
 type server struct {
 	spans.Owner
+	registered   spans.Owner // as the leader knows it: a restart becomes known with the next heartbeat
 	dead         bool
 	unreachable  bool // orders do not arrive
 	clockDrift   float64
@@ -72,10 +73,14 @@
 	recorded     spans.Map // in the store
 	queue        []func()
 	dueAt        []time.Duration   // of the functions in queue
-	conns        map[conn]int64    // start time of the server behind each connection
+	conns        map[line]conn     // open connections
+	opened       assign.Session    // connections so far
 	highest      map[uint16]uint64 // highest fence with which a key was held
 	holder       map[uint16]string // last holder of a key
 	moves        int
+	overlapEnd   time.Duration // the earlier leader sends until then
+	// restartAnytime lets servers restart at once also while an earlier leader still sends.
+	restartAnytime bool
 }
 
 func (w *simulation) after(d time.Duration, f func()) {
@@ -94,12 +99,18 @@
 	return nil
 }
 
-// conn is the persistent connection of a leader to a server. It breaks when the server's process ends.
-type conn struct {
+// line is what a leader uses to send grants to a server.
+type line struct {
 	assigner *assign.Assigner
 	server   string
 }
 
+// conn is the connection of a line to one process of the server.
+type conn struct {
+	session assign.Session
+	startMs int64
+}
+
 // send sends the orders that are due. Renewals of one server are sent one by one until one fails.
 func (w *simulation) send(k *assign.Assigner) {
 	renewals := make(map[spans.Owner][]assign.Order)
@@ -143,20 +154,25 @@
 	}
 	start, delay := w.clock(), time.Duration(w.rng.IntN(40))*time.Millisecond
 	fate := w.rng.IntN(100)
-	c := conn{k, o.Server}
+	l := line{k, o.Server}
 	// A server that is down when an order is sent never gets it: the connection attempt fails before the server starts.
 	down := w.find(o.Owner).dead
-	if born, ok := w.conns[c]; ok && born != w.find(o.Owner).StartMs {
-		// The client notices that its connection is broken, and sends no renewal over a new one.
-		delete(w.conns, c)
-		if o.Renewal {
-			finish(start, assign.NotSent, "")
-			return
-		}
+	c, open := w.conns[l]
+	if open && (c.startMs != w.find(o.Owner).StartMs || fate < 2) {
+		// The server's process has ended, or it closes connections at times. The client notices.
+		delete(w.conns, l)
+		open = false
+	}
+	if o.Renewal && (!open || c.session != o.Session) {
+		finish(start, assign.NotSent, "")
+		return
 	}
 	w.after(delay, func() {
 		s := w.find(o.Owner)
 		switch {
+		case open && c.startMs != s.StartMs:
+			finish(start, assign.NoAnswer, "")
+			return
 		case down && !s.unreachable:
 			finish(start, assign.NotListening, "")
 			return
@@ -174,7 +190,12 @@
 			w.after(700*time.Millisecond, func() { finish(start, assign.NoAnswer, "") })
 			return
 		}
-		w.conns[c] = s.StartMs
+		if !open && o.Kind == assign.Grant {
+			w.opened++
+			c = conn{w.opened, s.StartMs}
+			w.conns[l] = c
+		}
+		o.Session = c.session
 		res := assign.Accepted
 		if o.Kind == assign.Grant {
 			res = s.grant(w.now, w.now, o)
@@ -193,7 +214,7 @@
 func (w *simulation) ownerState(o spans.Owner) (usable, gone bool) {
 	for _, s := range w.servers {
 		if s.Server == o.Server && !s.dead {
-			return s.StartMs == o.StartMs, s.StartMs != o.StartMs
+			return s.registered == o, s.registered != o
 		}
 	}
 	return false, w.reachability.HasEnded(w.clock(), o)
@@ -225,6 +246,7 @@
 	if old == nil {
 		return
 	}
+	w.overlapEnd = max(w.overlapEnd, w.now+overlap)
 	end := w.now + overlap
 	var renew func()
 	renew = func() {
@@ -286,7 +308,7 @@
 func (w *simulation) candidates() (out []shift.Server) {
 	for _, s := range w.servers {
 		if !s.dead {
-			out = append(out, shift.Server{Owner: s.Owner, Capacity: 20, AcceptsKeys: true})
+			out = append(out, shift.Server{Owner: s.registered, Capacity: 20, AcceptsKeys: true})
 		}
 	}
 	return out
@@ -305,14 +327,12 @@
 // injectFault stops, restarts, disconnects or reconnects a server, or changes the leader.
 func (w *simulation) injectFault() {
 	s := w.servers[w.rng.IntN(len(w.servers))]
-	switch w.rng.IntN(6) {
+	switch w.rng.IntN(7) {
 	case 0:
 		s.dead = true
 	case 1:
 		if s.dead {
-			// A restarted server has no leases and knows no fences.
-			s.dead, s.leases, s.highestFence = false, make(map[uint16]lease), make(map[uint16]uint64)
-			s.StartMs++
+			w.restart(s)
 		}
 	case 2:
 		s.unreachable = true
@@ -320,21 +340,40 @@
 		s.unreachable = false
 	case 5:
 		w.changeLeader(time.Duration(w.rng.IntN(2400)) * time.Millisecond)
+	case 6:
+		if !s.dead && (w.restartAnytime || w.now > w.overlapEnd) {
+			w.restart(s)
+		}
 	}
 }
 
+// restart begins a new life of s, which has no leases and knows no fences.
+func (w *simulation) restart(s *server) {
+	s.dead, s.leases, s.highestFence = false, make(map[uint16]lease), make(map[uint16]uint64)
+	s.StartMs++
+	w.after(time.Duration(w.rng.IntN(900))*time.Millisecond, func() { s.registered = s.Owner })
+}
+
 // Guards against two servers that hold a key at the same time, and against a key that goes to another server without a
-// higher fence. Orders are lost, delayed and carried out after newer ones; servers stop, restart under their id and become
-// unreachable; clocks are slow; and leaders change while the old one still sends.
-func TestSoleOwner(t *testing.T) {
+// higher fence. Orders are lost, delayed and carried out after newer ones; servers stop, restart under their id, at times at once,
+// and become unreachable; clocks are slow; and leaders change while the old one still sends.
+func TestSoleOwner(t *testing.T) { testSoleOwner(t, false) }
+
+// Guards against an earlier leader that still sends, and gives a server that has restarted at once a fence below the one by which its
+// successor had granted the keys to the process before.
+func TestRestartDuringSuccession(t *testing.T) { testSoleOwner(t, true) }
+
+func testSoleOwner(t *testing.T, restartAnytime bool) {
 	moves := 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := &simulation{rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), conns: make(map[conn]int64), highest: make(map[uint16]uint64), holder: make(map[uint16]string)}
+		w := &simulation{rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), conns: make(map[line]conn), highest: make(map[uint16]uint64), holder: make(map[uint16]string)}
+		w.restartAnytime = restartAnytime
 		for i := range 3 + w.rng.IntN(3) {
 			w.servers = append(w.servers, &server{
 				Owner: spans.Owner{Server: fmt.Sprint("s", i), StartMs: 1}, clockDrift: w.rng.Float64() * 0.02,
 				leases: make(map[uint16]lease), highestFence: make(map[uint16]uint64),
 			})
+			w.servers[i].registered = w.servers[i].Owner
 		}
 		w.changeLeader(0)
 		for i := range 3000 {
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -47,7 +47,8 @@
 	Log       keyed.Log
 	SameValue func(topic keyed.Topic, old, value []byte) bool
 	build.Decoder
-	Grant   func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal bool) assign.Result
+	// Grant sends a first grant in any session, a renewal only in the given one. It returns the session of the answer.
+	Grant   func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal assign.Session) (assign.Result, assign.Session)
 	Release func(ctx context.Context, addr netip.AddrPort, s spans.Span) (assign.Result, string)
 	// FillReport adds what this instance has seen since the last call to an answer for the leader.
 	FillReport func(now time.Time, r *sitepb.PushReply)
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -218,7 +218,7 @@
 			start := c.cfg.Now()
 			res, handover := assign.NotSent, ""
 			if !failed && c.mayOrder(l) {
-				res, handover = c.callServer(srv, o)
+				res, handover, o.Session = c.callServer(srv, o)
 			}
 			failed = failed || res != assign.Accepted
 			c.finishOrder(l, pool, k, start, o, res, handover)
@@ -253,15 +253,17 @@
 	return c.leader == l && !l.resigning && c.mayAct(c.cfg.Now())
 }
 
-func (c *Coordinator) callServer(srv *topo.Server, o assign.Order) (assign.Result, string) {
+func (c *Coordinator) callServer(srv *topo.Server, o assign.Order) (res assign.Result, handover string, s assign.Session) {
 	if o.Kind == assign.Release {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		return c.cfg.Release(ctx, srv.Address, o.Span)
+		res, handover = c.cfg.Release(ctx, srv.Address, o.Span)
+		return res, handover, 0
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
-	return c.cfg.Grant(ctx, srv.Address, o.Span, o.Duration, o.Renewal), ""
+	res, s = c.cfg.Grant(ctx, srv.Address, o.Span, o.Duration, o.Session)
+	return res, "", s
 }
 
 // announceMoves updates which keys are being moved and tells the members if that has changed. c.mu is held.
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -37,6 +37,8 @@
 	ErrReset = errors.New("new connection reset")
 	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
 	ErrInterim = errors.New("too many interim answers")
+	// ErrNotOpen means that no open connection is idle, and the request must not go out on a new one.
+	ErrNotOpen = errors.New("no open connection")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = errors.New("connection pool closed")
 )
@@ -59,6 +61,7 @@
 	mu        sync.Mutex
 	idleConns []*conn // most recently used last
 	openCount int
+	opened    uint64 // connections so far
 	closed    bool
 }
 
@@ -71,8 +74,10 @@
 	// MaxForeign is how many complete answers to other requests are skipped before the expected one.
 	MaxForeign int
 	// IdleTimeout is how long an idle connection may be used again; 0 means 4 s. A shorter time in a server's
-	// Keep-Alive header takes precedence.
+	// Keep-Alive header takes precedence unless IgnoreKeepAlive is set.
 	IdleTimeout time.Duration
+	// IgnoreKeepAlive is for calls that come so regularly that connections are never idle for long.
+	IgnoreKeepAlive bool
 	// Budget bounds the large answers that are being read; nil means one that is shared by all such pools.
 	Budget *Budget
 }
@@ -154,6 +159,9 @@
 	// SettleTime limits the wait before sending on a new connection, which is as long as opening it took. A server with too
 	// many connections resets it in that time, and the request certainly did not run.
 	SettleTime time.Duration
+	// OnlyOpen restricts the request to a connection that is open already. The process at its other end is the one that answered
+	// on it before, whereas a new connection may reach a restarted server.
+	OnlyOpen bool
 }
 
 // DoWith is like Do with the given options.
@@ -294,6 +302,9 @@
 // Keep-Alive header, so the limit is a second less.
 func (p *Pool) idleLimit(resp *fasthttp.Response) time.Duration {
 	d := p.idleTimeout()
+	if p.IgnoreKeepAlive {
+		return d
+	}
 	if _, after, ok := strings.Cut(string(resp.Header.Peek("Keep-Alive")), "timeout="); ok {
 		digits, _, _ := strings.Cut(after, ",")
 		if n, err := strconv.Atoi(strings.TrimSpace(digits)); err == nil && n >= 0 {
@@ -321,7 +332,7 @@
 
 // acquire returns an idle connection on which nothing has arrived, or a new one.
 func (p *Pool) acquire(ctx context.Context, opts SendOptions) (c *conn, isNew bool, err error) {
-	c, err = p.reserve(time.Now(), opts.MaxIdle)
+	c, err = p.reserve(time.Now(), opts)
 	if c != nil || err != nil {
 		return c, false, err
 	}
@@ -348,7 +359,7 @@
 	return c, true, nil
 }
 
-func (p *Pool) reserve(now time.Time, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) reserve(now time.Time, opts SendOptions) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -357,16 +368,20 @@
 	for len(p.idleConns) > 0 {
 		c := p.idleConns[len(p.idleConns)-1]
 		p.idleConns = p.idleConns[:len(p.idleConns)-1]
-		if idle := now.Sub(c.idleSince); idle < min(c.maxIdle, maxIdle) && c.br.Buffered() == 0 && work.IsReusable(c.Conn) {
+		if idle := now.Sub(c.idleSince); idle < min(c.maxIdle, opts.MaxIdle) && c.br.Buffered() == 0 && work.IsReusable(c.Conn) {
 			return c, nil
 		}
 		p.openCount--
 		_ = c.Close()
 	}
+	if opts.OnlyOpen {
+		return nil, ErrNotOpen
+	}
 	if p.maxConns > 0 && p.openCount >= p.maxConns {
 		return nil, ErrLimit
 	}
 	p.openCount++
+	p.opened++
 	return nil, nil
 }
 
@@ -406,24 +421,11 @@
 	p.mu.Unlock()
 }
 
-// DropClosed drops the idle connections that the server has closed and reports whether there were any. If the server has
-// exited, the next request may reach another process at its address.
-func (p *Pool) DropClosed() bool {
+// Opened returns how many connections have been opened so far, attempts included.
+func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, c := range p.idleConns {
-		if work.IsReusable(c.Conn) {
-			p.idleConns[n] = c
-			n++
-			continue
-		}
-		p.openCount--
-		_ = c.Close()
-	}
-	dropped := n < len(p.idleConns)
-	p.idleConns = p.idleConns[:n]
-	return dropped
+	return p.opened
 }
 
 // closeIdle closes the idle connections.
