Check whether the server has crashed also when its answer was cut short

Cause: answers cut short led to no check of the server, so that the request got no strike. They had been left out since faulty servers cut answers short as well; but the check tells those apart, as their address goes on accepting connections.

--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -618,7 +618,8 @@
 	switch {
 	case out == limit.Done:
 		c.crashes.RecordSuccess(now, x.Fingerprint)
-	case sent && out == limit.Broken && !errors.Is(err, conns.ErrTruncated) && !errors.Is(err, conns.ErrMismatch):
+	case sent && out == limit.Broken && err != nil && !errors.Is(err, conns.ErrMismatch):
+		// A process may also crash while it sends the answer, which is then cut short.
 		c.crashChecks.Go(func() { c.checkCrash(t, x.Fingerprint) })
 	}
 	x.serverFull = out == limit.Shed
--- a/internal/flow/sender/sender_test.go
+++ b/internal/flow/sender/sender_test.go
@@ -411,25 +411,37 @@
 	}
 }
 
-// Guards against a request that crashes one server after another.
+// sendPoison sends the n-th request of a caller that always sends the same one.
+func (s *testSender) sendPoison(n int) error {
+	now := time.Now()
+	r := &tables.Route{Name: "r", Pool: "p", Attempts: 1, Once: new(tables.OnceRule)}
+	_, err := s.Send(now, &sender.Call{
+		Request: &work.Request{ID: fmt.Sprint("q", n), Method: "POST", URI: "/poison", Deadline: now.Add(time.Second), Fingerprint: crash.NewFingerprint("POST", "/poison", nil)},
+		Route:   r, CallerCtx: context.Background(), ReceivedAt: now,
+	})
+	return err
+}
+
+// Guards against a request that crashes one server after another, before the answer or while it is sent.
 func TestCrashingRequest(t *testing.T) {
-	poison := crash.NewFingerprint("POST", "/poison", nil)
+	for _, answer := range []string{answerNone, answerCut} {
+		testCrashingRequest(t, answer)
+	}
+}
+
+func testCrashingRequest(t *testing.T, answer string) {
 	s := newSender(t, snapshotOf(false))
 	lost := 0
 	for i := range 6 {
-		f := startServer(t, fmt.Sprint("s", i), answerNone)
+		f := startServer(t, fmt.Sprint("s", i), answer)
 		s.setSnapshot(snapshotOf(false, f))
-		_ = f.ln.Close
-		now := time.Now()
-		r := &tables.Route{Name: "r", Pool: "p", Attempts: 1, Once: new(tables.OnceRule)}
-		x := &sender.Call{Request: &work.Request{ID: fmt.Sprint("q", i), Method: "POST", URI: "/poison", Deadline: now.Add(time.Second), Fingerprint: poison}, Route: r, CallerCtx: context.Background(), ReceivedAt: now}
 		time.AfterFunc(5*time.Millisecond, func() {
 			for f.requestCount.Load() == 0 {
 				time.Sleep(time.Millisecond)
 			}
 			_ = f.ln.Close()
 		})
-		_, err := s.Send(now, x)
+		err := s.sendPoison(i)
 		if f.requestCount.Load() > 0 {
 			lost++
 		}
@@ -440,6 +452,25 @@
 		s.Close()
 	}
 	if lost != 2 {
-		t.Errorf("%d servers got the request, want 2", lost)
+		t.Errorf("answer %q: %d servers got the request, want 2", answer, lost)
+	}
+}
+
+// Guards against strikes for requests whose answers a server cuts short that goes on running.
+func TestCutAnswersOfRunningServer(t *testing.T) {
+	var strikes atomic.Int64
+	f := startServer(t, "s", answerCut)
+	s := newSenderWith(t, snapshotOf(false, f), func(cfg *sender.Config) {
+		cfg.OnStrike = func(crash.Fingerprint, *topo.Server) { strikes.Add(1) }
+	})
+	for n := range 5 {
+		if e := result.FromError(s.sendPoison(n)); e.Reason == sender.ReasonQuarantine {
+			t.Errorf("request %d is refused as %s", n, e.Reason)
+		}
+		s.setSnapshot(snapshotOf(false, f)) // another snapshot, in which the same process is registered
+	}
+	time.Sleep(200 * time.Millisecond)
+	if n := strikes.Load(); n > 0 {
+		t.Errorf("%d strikes", n)
 	}
 }
