Count each process of a server that a request crashes, in the product's own path

Cause: strikes named the server, not its process. They name both now, as the controller tells the incarnation. A running server that breaks connections still counts once.

lanes.TestLossOfEachProcess failed before ("lost servers [a a a]", a being one to the tracker).

--- a/internal/flow/lanes/job.go
+++ b/internal/flow/lanes/job.go
@@ -59,7 +59,7 @@
 		e := result.FromError(err)
 		out, hold = classify(e), e.RetryAfter
 		if out == limit.Broken && e.Verdict == result.MayHaveRun {
-			ln.dispatcher.cfg.ServerLost(now, b.name, j.req.Fingerprint)
+			ln.dispatcher.cfg.ServerLost(now, b.process(), j.req.Fingerprint)
 		}
 	}
 	if j.runsAlone && out == limit.Done {
--- a/internal/flow/lanes/lanes.go
+++ b/internal/flow/lanes/lanes.go
@@ -42,7 +42,7 @@
 	// Admit decides by the servers lost to requests with this fingerprint: a request runs like any other, or alone on its
 	// server, or is refused for the time returned.
 	Admit func(now time.Time, fingerprint [16]byte) (alone bool, refuse time.Duration)
-	// ServerLost records that a server was lost while it ran a request with this fingerprint.
+	// ServerLost records that a process of a server was lost while it ran a request with this fingerprint.
 	ServerLost func(now time.Time, server string, fingerprint [16]byte)
 	// AloneSucceeded records that a request that ran alone was answered.
 	AloneSucceeded func(now time.Time, fingerprint [16]byte)
--- a/internal/flow/lanes/lanes_test.go
+++ b/internal/flow/lanes/lanes_test.go
@@ -305,6 +305,22 @@
 	return f.TakeReports(f.Add(time.Second))[0].GetLoad()
 }
 
+// Guards against a request that crashes a server again and again after it has restarted under its name: all its processes counted
+// as one lost server.
+func TestLossOfEachProcess(t *testing.T) {
+	b := newBackend(t, func(c *fasthttp.RequestCtx) { _ = c.Conn().Close() })
+	f := newFixture(t)
+	for incarnation := range uint64(3) {
+		lane := unkeyedLane(b)
+		lane.Revision, lane.Servers[0].Incarnation = incarnation+1, incarnation
+		f.Update(f.Now(), []*peerpb.Lane{lane}, f.Now())
+		_ = f.do(request("cut/a1/0", "crash"))
+	}
+	if want := []string{"a", "a/1", "a/2"}; !slices.Equal(f.lostServers, want) {
+		t.Errorf("lost servers %v, want %v", f.lostServers, want)
+	}
+}
+
 // Guards against running a request that has crashed a server beside others, and against not recording the crash.
 func TestRunAlone(t *testing.T) {
 	var runningBeside atomic.Int32
--- a/internal/flow/lanes/server.go
+++ b/internal/flow/lanes/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
@@ -43,6 +44,14 @@
 	}
 }
 
+// process returns a name of the process that b talks to, which differs from that of the next one under the same name.
+func (b *backend) process() string {
+	if b.incarnation == 0 {
+		return b.name
+	}
+	return b.name + "/" + strconv.FormatUint(b.incarnation, 16)
+}
+
 // maxConnections returns how many connections to open: at most twice the concurrency slots, so that the server's limit
 // has room for a second dispatcher that was frozen and returns.
 func maxConnections(slots, limit int) int {
