Take a process that restarted at once for ended when its successor registers

Cause: the check after a lost connection asked whether the address accepts connections, which the next process does; and strikes were counted by the server's id, which may stay the same.

Strikes name id and start of a process.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -25,7 +25,8 @@
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
-// Strike records that a server was lost while a request with this fingerprint ran on it.
+// Strike records that a server was lost while a request with this fingerprint ran on it. Server names one process of the
+// server: a request may crash the next one as well, under the same id.
 type Strike struct {
 	Fingerprint Fingerprint
 	Server      string
@@ -75,7 +76,7 @@
 }
 
 type entry struct {
-	lossTimes   map[string]time.Time // latest loss of each server
+	lossTimes   map[string]time.Time // latest loss of each server process
 	lastEvent   time.Time            // latest loss or success
 	sharedEnd   time.Time            // end of the quarantine before this instance's extension, zero if there was none
 	localEnd    time.Time            // end of the quarantine in this instance
@@ -136,7 +137,7 @@
 	}
 }
 
-// RecordLoss records that a server was lost while the requests in running ran on it.
+// RecordLoss records that a process of a server was lost while the requests in running ran on it.
 func (t *Tracker) RecordLoss(now time.Time, server string, running []Fingerprint) {
 	for _, f := range running {
 		t.addStrike(now, f, server, now)
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -5,10 +5,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -100,6 +100,10 @@
 	crashes     *crash.Tracker
 	keyLoads    map[PoolKey]int
 	crashChecks conc.WaitGroup
+	// successorWaits counts the crash checks that wait for a registration, until closing ends.
+	successorWaits atomic.Int64
+	closing        context.Context //nolint:containedctx // ends with Close
+	stopChecks     context.CancelFunc
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
 	sharedLatencies map[string]time.Duration
 	sharedAt        time.Time
@@ -128,7 +132,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = new(quota.Book)
 	}
+	closing, stopChecks := context.WithCancel(context.Background())
 	return &Sender{
+		closing: closing, stopChecks: stopChecks,
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
 		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int),
 	}
@@ -618,7 +624,7 @@
 	switch {
 	case out == limit.Done:
 		c.crashes.RecordSuccess(now, x.Fingerprint)
-	case sent && out == limit.Broken && err != nil && !errors.Is(err, conns.ErrMismatch):
+	case sent && out == limit.Broken && !errors.Is(err, conns.ErrMismatch):
 		// A process may also crash while it sends the answer, which is then cut short.
 		c.crashChecks.Go(func() { c.checkCrash(t, x.Fingerprint) })
 	}
@@ -632,33 +638,6 @@
 	}
 }
 
-const (
-	// crashCheckDelay is the time from a lost connection to the check of the server: a crashing process takes a moment to end.
-	crashCheckDelay = 30 * time.Millisecond
-	// crashCheckTimeout bounds the connection attempt of that check.
-	crashCheckTimeout = 300 * time.Millisecond
-)
-
-// checkCrash adds a strike to a request that lost its connection if the server no longer accepts connections.
-func (c *Sender) checkCrash(t *target, fp crash.Fingerprint) {
-	time.Sleep(crashCheckDelay)
-	conn, err := net.DialTimeout("tcp", t.Address.String(), crashCheckTimeout)
-	if err == nil {
-		_ = conn.Close() // only tests whether it opens
-		return
-	}
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashes.RecordLoss(now, t.Server.Server, []crash.Fingerprint{fp})
-	if c.cfg.OnStrike != nil {
-		c.cfg.OnStrike(fp, t.Server)
-	}
-}
-
-// Close waits for the crash checks in progress. It closes no connections.
-func (c *Sender) Close() { c.crashChecks.Wait() }
-
 // shouldRetryFailure reports whether r is a server error that may be retried, and then charges the retry budget.
 func (c *Sender) shouldRetryFailure(x *Call, r Reply) bool {
 	return r.Status >= 500 && x.Route.MayRepeat() && time.Until(x.Deadline) > minTimeLeft && x.SendCount < 2 && x.SendCount < max(2, x.Route.Attempts) && c.takeRetry(x.poolName)
--- a/internal/flow/sender/sender_test.go
+++ b/internal/flow/sender/sender_test.go
@@ -456,6 +456,41 @@
 	}
 }
 
+// Guards against a request that crashes the processes of a server again and again: the next one begins at once at the same address,
+// under another id or the same, so that the address accepts connections all the time.
+func TestCrashingRequestRestartAtOnce(t *testing.T) {
+	for name, nextID := range map[string]func(n int) string{
+		"other id": func(n int) string { return fmt.Sprint("s", n) },
+		"same id":  func(int) string { return "s" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var strikes atomic.Int64
+			s := newSenderWith(t, snapshotOf(false), func(cfg *sender.Config) {
+				cfg.OnStrike = func(crash.Fingerprint, *topo.Server) { strikes.Add(1) }
+			})
+			f := startServer(t, "", answerCut)
+			address, crashes := f.Address, 0
+			for n := range 5 {
+				next := &fakeServer{Server: &topo.Server{Owner: spans.Owner{Server: nextID(n), StartMs: int64(1 + n)}, Pool: "p", Address: address, DC: "a", Slots: 3}}
+				s.setSnapshot(snapshotOf(false, next)) // registers the process
+				for deadline := time.Now().Add(5 * time.Second); strikes.Load() < int64(crashes) && time.Now().Before(deadline); {
+					time.Sleep(time.Millisecond)
+				}
+				before := f.requestCount.Load()
+				err := s.sendPoison(n)
+				if f.requestCount.Load() > before {
+					crashes++
+				} else if e := result.FromError(err); e.Reason != sender.ReasonQuarantine {
+					t.Errorf("refused as %s", e.Reason)
+				}
+			}
+			if crashes != 2 {
+				t.Errorf("%d processes got the request, want 2", crashes)
+			}
+		})
+	}
+}
+
 // Guards against strikes for requests whose answers a server cuts short that goes on running.
 func TestCutAnswersOfRunningServer(t *testing.T) {
 	var strikes atomic.Int64
--- a/internal/place/topo/snapshot.go
+++ b/internal/place/topo/snapshot.go
@@ -64,6 +64,16 @@
 	Moving  map[string][]MovingRange // by keyed pool
 }
 
+// HasSuccessor reports whether a process that began after s is registered under its id or at its address, so that s has ended.
+func (w *Snapshot) HasSuccessor(s *Server) bool {
+	for _, x := range w.Servers {
+		if (x.Server == s.Server || x.Address == s.Address) && x.StartMs > s.StartMs {
+			return true
+		}
+	}
+	return false
+}
+
 // MovingRange is a range of keys that changes owner. Until is when they are expected to be served again.
 type MovingRange struct {
 	First, Last uint16
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -421,6 +421,18 @@
 	p.mu.Unlock()
 }
 
+// HasOpen reports whether the server has left an idle connection open, so that the process which accepted it still runs.
+func (p *Pool) HasOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idleConns {
+		if work.IsReusable(c.Conn) {
+			return true
+		}
+	}
+	return false
+}
+
 // Opened returns how many connections have been opened so far, attempts included.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
