Leave odd entries out of the platform's list instead of failing to read it

One entry with a port out of range, a field of another type or nesting beyond 10,000 levels made an instance of the product's own interface fail to read the whole list: it went on with the list of before and learnt of no server or instance that came or left (one of the reports: machines that stopped following it).

Cause: the list was decoded as one document, and the first field that did not fit failed it. Entries are decoded one by one now, after nesting beyond any entry's has been replaced by null; those without a name or a usable address are left out.

roster.TestOddEntries failed before for each of its ten entries.

--- a/internal/plat/roster/roster.go
+++ b/internal/plat/roster/roster.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 )
 
@@ -35,8 +34,8 @@
 
 // List is one answer of the platform.
 type List struct {
-	Instances []Instance `json:"instances"`
-	Servers   []Server   `json:"servers"`
+	Instances []Instance
+	Servers   []Server
 }
 
 // Client calls one list service. It is safe for concurrent use.
@@ -84,15 +83,10 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return out, fmt.Errorf("list service answered %d", resp.StatusCode())
 	}
-	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+	out, err := decodeList(resp.Body())
+	if err != nil {
 		return out, err
 	}
-	for i := range out.Instances {
-		out.Instances[i].Leaving = out.Instances[i].State == stateLeaving
-	}
-	for i := range out.Servers {
-		out.Servers[i].Leaving = out.Servers[i].State == stateLeaving
-	}
 	c.cache(string(resp.Header.Peek(fasthttp.HeaderETag)), out)
 	return out, nil
 }
