--- a/internal/plat/grants/grants.go
+++ b/internal/plat/grants/grants.go
@@ -52,13 +52,16 @@
 	defaultTimeout = time.Second
 	// One grant is in flight per server; the second connection replaces one that is being closed after a timeout.
 	connsPerServer = 2
+	// maxAnswerSize is above the answer of a server that holds each slot of its pools in a range of its own. A faulty server may
+	// send bytes without end.
+	maxAnswerSize = 8 << 20 // bytes
 )
 
 // New returns a client without connections.
 func New() *Client {
 	dial := func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, connectTimeout) }
 	return &Client{http: &fasthttp.Client{
-		Dial: dial, MaxConnsPerHost: connsPerServer, MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry,
+		Dial: dial, MaxConnsPerHost: connsPerServer, MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: maxAnswerSize,
 	}}
 }
 
--- a/internal/plat/grants/grants_test.go
+++ b/internal/plat/grants/grants_test.go
@@ -1,9 +1,12 @@
 package grants_test
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"reflect"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/goccy/go-json"
@@ -51,3 +54,33 @@
 		t.Error("status 400 is not reported as an error")
 	}
 }
+
+// Guards against a faulty server that answers a grant with bytes without end: the controller kept all of them.
+func TestEndlessAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	var written atomic.Int64
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for chunk := []byte("2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n"); err == nil; {
+			var n int
+			n, err = c.Write(chunk)
+			written.Add(int64(n))
+		}
+	}()
+	if _, err := grants.New().Send(t.Context(), netip.MustParseAddrPort(ln.Addr().String()), grants.Grant{}); err == nil {
+		t.Error("an answer without end is taken")
+	}
+	// Buffers of the sockets hold some more than the 8 MiB that are read.
+	if n := written.Load(); n > 24<<20 {
+		t.Errorf("%d bytes were taken", n)
+	}
+}
