Refuse requests late in a stop that its end could cut off

Cause: after the first half of the grace no new request is read, but one that was being read, waited for a server or was to be sent again went out whatever time was left. From then on a request is refused as not run (503, reason "stopping") if its deadline is after the time at which requests in progress are cut off. Others are served. In the first half requests are taken as before: the load balancer still sends them.

--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -45,6 +45,7 @@
 	ReasonCancelled     = "cancelled"       // the caller closed its connection
 	ReasonUnsigned      = "answer-unsigned" // a success without the server's signature
 	ReasonNoTimeLeft    = "no-time-left"    // the deadline is too near to send
+	ReasonStopping      = "stopping"        // the instance stops and could be killed before the answer
 )
 
 // Refusal says why a server did not run a request.
@@ -104,6 +105,7 @@
 	successorWaits atomic.Int64
 	closing        context.Context //nolint:containedctx // ends with Close
 	stopChecks     context.CancelFunc
+	stop           atomic.Pointer[stopTimes] // nil unless the instance stops
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
 	sharedLatencies map[string]time.Duration
 	sharedAt        time.Time
@@ -222,18 +224,35 @@
 
 // abortError returns the final error if the caller is gone or the deadline too near, nil if the request may be sent.
 func (c *Sender) abortError(now time.Time, x *Call, last *result.Error) error {
-	reason := ReasonNoTimeLeft
+	reason, retryAfter := ReasonNoTimeLeft, shortRetryAfter
 	switch {
 	case x.CallerCtx.Err() != nil:
 		reason = ReasonCancelled
 	case x.Deadline.Sub(now) < minTimeLeft:
+	case c.mayBeCut(now, x.Deadline):
+		reason, retryAfter = ReasonStopping, stopRetryAfter
 	default:
 		return nil
 	}
 	if last != nil {
 		return c.finalError(x, last)
 	}
-	return c.finalError(x, work.NewRefusal(reason, shortRetryAfter))
+	return c.finalError(x, work.NewRefusal(reason, retryAfter))
+}
+
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	lastSend time.Time // requests sent until then have had their share of the grace
+	end      time.Time // requests in progress are cut off then
+}
+
+// BeginStop makes the sender refuse requests after lastSend that might still be in progress at end, when the process ends.
+func (c *Sender) BeginStop(lastSend, end time.Time) { c.stop.Store(&stopTimes{lastSend, end}) }
+
+// mayBeCut reports whether a request that is sent now may be cut off by the end of the process.
+func (c *Sender) mayBeCut(now, deadline time.Time) bool {
+	s := c.stop.Load()
+	return s != nil && now.After(s.lastSend) && deadline.After(s.end)
 }
 
 // choosePool returns the pool of a route. If the route has a split, the request id decides.
@@ -267,6 +286,8 @@
 	// busyRetryAfter spreads callers over the time in which an overload of a few seconds eases; sooner, they would only be
 	// refused again.
 	busyRetryAfter = 600 * time.Millisecond
+	// stopRetryAfter is short since other instances serve the caller at once.
+	stopRetryAfter = 50 * time.Millisecond
 	// ownerRetryAfter is about the time in which a key gets its next owner.
 	ownerRetryAfter = 500 * time.Millisecond
 )
--- a/internal/flow/sender/sender_test.go
+++ b/internal/flow/sender/sender_test.go
@@ -411,6 +411,28 @@
 	}
 }
 
+// Guards against a stopping instance that takes requests which the end of its process may cut off, or refuses others.
+func TestStopping(t *testing.T) {
+	f := startServer(t, "a", answerOK)
+	s := newSender(t, snapshotOf(false, f))
+	now := time.Now()
+	s.BeginStop(now.Add(300*time.Millisecond), now.Add(time.Second))
+	if _, err := s.send(context.Background(), true, 5*time.Second); err != nil {
+		t.Errorf("before the last time to send: %v", err)
+	}
+	time.Sleep(time.Until(now.Add(320 * time.Millisecond)))
+	_, err := s.send(context.Background(), true, 5*time.Second)
+	if e := result.FromError(err); e.Reason != sender.ReasonStopping || e.Verdict != result.NotRun || e.RetryAfter <= 0 {
+		t.Errorf("after it: %+v", e)
+	}
+	if _, err := s.send(context.Background(), true, 200*time.Millisecond); err != nil {
+		t.Errorf("with a deadline before the end: %v", err)
+	}
+	if n := f.requestCount.Load(); n != 2 {
+		t.Errorf("the server got %d requests, want 2", n)
+	}
+}
+
 // sendPoison sends the n-th request of a caller that always sends the same one.
 func (s *testSender) sendPoison(n int) error {
 	now := time.Now()
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -116,10 +116,12 @@
 	grace := s.currentGrace()
 	killTime = start.Add(grace)
 	cutoff := killTime.Add(-killMargin)
+	linger := min(lingerTime, grace/2)
+	s.sender.BeginStop(start.Add(linger), cutoff)
 	var leaving conc.WaitGroup
 	defer leaving.Wait()
 	leaving.Go(func() { s.coord.Leave(cutoff) })
-	time.Sleep(min(lingerTime, grace/2))
+	time.Sleep(time.Until(start.Add(linger)))
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff)
 	defer cancel()
 	if err := s.frontend.Stop(ctx); err != nil {
