Name the server in orders, and count its process as ended when another one refuses them

Its keys counted as owned by a server that was gone; requests for them were refused with 421 until the entry had expired, for up to 2.6 s.

Cause: orders went to an address. As another process listens at the address, the one before has ended, and its keys are free at once.

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -72,6 +72,7 @@
 	Fenced                     // the server has seen a higher fence
 	Refused                    // the server answered with another error, such as for a wrong address
 	NotListening               // not sent, and no process listens at the server's address
+	Ended                      // not carried out: a process with another id answered at the server's address
 )
 
 // String returns the form used in logs.
@@ -79,7 +80,7 @@
 
 // String returns the form used in logs.
 func (r Result) String() string {
-	return [...]string{"silent", "unsent", "done", "fenced", "refused", "down"}[r]
+	return [...]string{"silent", "unsent", "done", "fenced", "refused", "down", "ended"}[r]
 }
 
 // rangeState is the state of a range of keys.
@@ -109,6 +110,7 @@
 	inherited     bool        // the owner got the keys from an earlier leader
 	lastFailed    bool        // the last order failed
 	notListening  bool        // the last order to the server that was sent found its address not listening
+	ended         bool        // the last order to the server that was sent found another process at its address
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	session       Session     // on which the owner accepted the fence
 	singledAt     time.Time   // when a move for its load left it with a single key
@@ -295,8 +297,9 @@
 			k.markUnowned(now, p, "")
 			// A restarted server knows no fence and may accept grants that an earlier leader still sends.
 			p.fencesEarlier = false
-			if p.fenceUnused && p.notListening {
-				// No grant was accepted since the server stopped listening, and earlier grants ended with its process.
+			if p.ended || p.fenceUnused && p.notListening {
+				// Grants ended with the process, and the next one at its address takes none that name another id. Or no grant was
+				// accepted since the server stopped listening.
 				p.lateUntil = now
 			} else if !p.inherited || !p.renewedAt.IsZero() {
 				// The restarted server may have accepted the last grant. Grants of earlier leaders are covered by
@@ -527,10 +530,10 @@
 			continue
 		}
 		if res != NotSent {
-			p.notListening = res == NotListening
+			p.notListening, p.ended = res == NotListening, res == Ended
 		}
 		// The server may have restarted under its id, and a restarted server must not get a fence of the earlier process.
-		if res != Accepted && !p.inFlight && (!p.fenceUnused || res == Fenced) {
+		if res != Accepted && res != Ended && !p.inFlight && (!p.fenceUnused || res == Fenced) {
 			k.replaceFence(p)
 		}
 	}
@@ -541,6 +544,9 @@
 	case p.state != releasing:
 	case res == Accepted:
 		k.markUnowned(now, p, handover)
+	case res == Ended:
+		k.markUnowned(now, p, "")
+		p.lateUntil, p.fencesEarlier = now, false
 	case now.After(p.heldUntil):
 		k.markUnowned(now, p, "")
 	default:
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -72,11 +72,12 @@
 	fence        uint64
 	recorded     spans.Map // in the store
 	queue        []func()
-	dueAt        []time.Duration   // of the functions in queue
-	conns        map[line]conn     // open connections
-	opened       assign.Session    // connections so far
-	highest      map[uint16]uint64 // highest fence with which a key was held
-	holder       map[uint16]string // last holder of a key
+	dueAt        []time.Duration    // of the functions in queue
+	conns        map[line]conn      // open connections
+	opened       assign.Session     // connections so far
+	byAddress    map[string]*server // by each id that had the address
+	highest      map[uint16]uint64  // highest fence with which a key was held
+	holder       map[uint16]string  // last holder of a key
 	moves        int
 	overlapEnd   time.Duration // the earlier leader sends until then
 	// restartAnytime lets servers restart at once also while an earlier leader still sends.
@@ -89,15 +90,8 @@
 
 func (w *simulation) clock() time.Time { return epoch.Add(w.now) }
 
-// find returns the server with the id of o, whatever its start time.
-func (w *simulation) find(o spans.Owner) *server {
-	for _, s := range w.servers {
-		if s.Server == o.Server {
-			return s
-		}
-	}
-	return nil
-}
+// find returns the server at the address of o: a later process of it, or of another server, may listen there by now.
+func (w *simulation) find(o spans.Owner) *server { return w.byAddress[o.Server] }
 
 // line is what a leader uses to send grants to a server.
 type line struct {
@@ -190,6 +184,10 @@
 			w.after(700*time.Millisecond, func() { finish(start, assign.NoAnswer, "") })
 			return
 		}
+		if s.Server != o.Server {
+			w.after(delay, func() { finish(start, assign.Ended, "") })
+			return
+		}
 		if !open && o.Kind == assign.Grant {
 			w.opened++
 			c = conn{w.opened, s.StartMs}
@@ -212,12 +210,11 @@
 
 // ownerState returns the state of an owner as the leader sees it.
 func (w *simulation) ownerState(o spans.Owner) (usable, gone bool) {
-	for _, s := range w.servers {
-		if s.Server == o.Server && !s.dead {
-			return s.registered == o, s.registered != o
-		}
+	if w.reachability.HasEnded(w.clock(), o) {
+		return false, true
 	}
-	return false, w.reachability.HasEnded(w.clock(), o)
+	s := w.find(o)
+	return !s.dead && s.registered == o, !s.dead && s.registered != o && s.registered.Server == o.Server
 }
 
 // record writes the assignment to the store with a delay, unless the leader has changed by then.
@@ -351,6 +348,10 @@
 func (w *simulation) restart(s *server) {
 	s.dead, s.leases, s.highestFence = false, make(map[uint16]lease), make(map[uint16]uint64)
 	s.StartMs++
+	if w.rng.IntN(2) == 0 {
+		s.Server = fmt.Sprintf("s%d", len(w.byAddress))
+		w.byAddress[s.Server] = s
+	}
 	w.after(time.Duration(w.rng.IntN(900))*time.Millisecond, func() { s.registered = s.Owner })
 }
 
@@ -367,13 +368,13 @@
 	moves := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), conns: make(map[line]conn), highest: make(map[uint16]uint64), holder: make(map[uint16]string)}
-		w.restartAnytime = restartAnytime
+		w.restartAnytime, w.byAddress = restartAnytime, make(map[string]*server)
 		for i := range 3 + w.rng.IntN(3) {
 			w.servers = append(w.servers, &server{
 				Owner: spans.Owner{Server: fmt.Sprint("s", i), StartMs: 1}, clockDrift: w.rng.Float64() * 0.02,
 				leases: make(map[uint16]lease), highestFence: make(map[uint16]uint64),
 			})
-			w.servers[i].registered = w.servers[i].Owner
+			w.servers[i].registered, w.byAddress[w.servers[i].Server] = w.servers[i].Owner, w.servers[i]
 		}
 		w.changeLeader(0)
 		for i := range 3000 {
--- a/internal/place/assign/reach.go
+++ b/internal/place/assign/reach.go
@@ -23,6 +23,7 @@
 type Reachability struct {
 	failingSince map[spans.Owner]time.Time // start of the first of the latest consecutive failures
 	notListening map[spans.Owner]refusals
+	endedAt      map[spans.Owner]time.Time // start of the last order that another process at the address refused
 }
 
 // refusals holds the start of the first and the last of consecutive orders that found an address not listening.
@@ -32,6 +33,13 @@
 func (r *Reachability) Observe(o Order, res Result, start time.Time) {
 	if r.failingSince == nil {
 		r.failingSince, r.notListening = make(map[spans.Owner]time.Time), make(map[spans.Owner]refusals)
+		r.endedAt = make(map[spans.Owner]time.Time)
+	}
+	switch res {
+	case Ended:
+		r.endedAt[o.Owner] = start
+	case Accepted, Fenced:
+		delete(r.endedAt, o.Owner)
 	}
 	switch seen, known := r.notListening[o.Owner]; {
 	case res == NotListening && known:
@@ -65,8 +73,12 @@
 	return float64(n) <= maxLostShare*float64(len(all))
 }
 
-// HasEnded reports whether a server's process has ended, and with it all its grants, since nothing listens at its address.
+// HasEnded reports whether a server's process has ended, and with it all its grants, since nothing listens at its address or
+// another process does.
 func (r *Reachability) HasEnded(now time.Time, o spans.Owner) bool {
+	if at, known := r.endedAt[o]; known && now.Sub(at) < endedValidity {
+		return true
+	}
 	seen, known := r.notListening[o]
 	return known && seen.last.Sub(seen.first) >= minNotListening && now.Sub(seen.last) < endedValidity
 }
--- a/internal/place/assign/reach_test.go
+++ b/internal/place/assign/reach_test.go
@@ -61,6 +61,42 @@
 	}
 }
 
+// Guards against keys that stay unserved until the last grant of a server expires though another process has its address, and against a
+// new owner beside one whose orders have only got no answer.
+func TestOtherProcessAtAddress(t *testing.T) {
+	for _, kind := range []assign.Kind{assign.Grant, assign.Release} {
+		for res, atOnce := range map[assign.Result]bool{assign.Ended: true, assign.NoAnswer: false} {
+			c := &steadyPool{now: epoch}
+			c.Assigner = assign.New(nil, &c.fence, c.now, c.now)
+			a, b := shift.Server{Owner: owner("a"), Capacity: 10, AcceptsKeys: true}, shift.Server{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}
+			c.Plan(c.now, []shift.Server{a}, new(shift.Loads), true)
+			c.run(time.Second, accept)
+			var r assign.Reachability
+			at, moved := c.now, time.Duration(0)
+			for c.now.Before(at.Add(8*time.Second)) && moved == 0 {
+				c.Observe(c.now, func(o spans.Owner) (bool, bool) {
+					gone := r.HasEnded(c.now, o)
+					return o != a.Owner || kind == assign.Grant && !gone, gone
+				})
+				c.Plan(c.now, []shift.Server{{Owner: a.Owner, Capacity: 10, AcceptsKeys: kind == assign.Grant && !r.HasEnded(c.now, a.Owner)}, b}, new(shift.Loads), true)
+				c.run(50*time.Millisecond, func(o assign.Order) assign.Result {
+					if o.Server == "b" {
+						if o.First == 0 {
+							moved = c.now.Sub(at)
+						}
+						return assign.Accepted
+					}
+					r.Observe(o, res, c.now)
+					return res
+				})
+			}
+			if soon := moved > 0 && moved < 1500*time.Millisecond; soon != atOnce {
+				t.Errorf("%v: keys went to the next server %v after its first order ended as %v", kind, moved, res)
+			}
+		}
+	}
+}
+
 // Guards against keys that stay unserved until the last grant of a crashed server expires, 3.3 s, though nothing listens at
 // its address, so the process that held them has ended.
 func TestCrashedServer(t *testing.T) {
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -244,12 +245,15 @@
 		_ = h.Conn().Close()
 		return
 	}
-	switch string(h.Path()) {
-	case "/bramleycove/grant":
+	expect := string(h.Request.Header.Peek("X-Bramleycove-Expect-Instance"))
+	switch path := string(h.Path()); {
+	case strings.HasPrefix(path, "/bramleycove/") && expect != "" && expect != s.ID:
+		h.SetStatusCode(421)
+	case path == "/bramleycove/grant":
 		s.grant(h)
-	case "/bramleycove/release":
+	case path == "/bramleycove/release":
 		s.release(h)
-	case "/health":
+	case path == "/health":
 		h.Response.Header.Set("X-Bramleycove-Instance-Id", s.ID)
 	default:
 		s.serve(h)
