Judge in tests with real processes that a key moves with a higher fence

The soak restarts servers at once, and its judge compared only times. It compares the fences with which each life of a server held a key as well now.

--- a/test/platf/judge.go
+++ b/test/platf/judge.go
@@ -24,7 +24,8 @@
 			faults = append(faults, fmt.Sprintf("request %s ran on %s, and no caller sent it: %q", id, rs[0].Server, rs[0].Header))
 		}
 	}
-	return append(faults, overlaps(f.Journal.Held())...)
+	held := f.Journal.Held()
+	return append(append(faults, overlaps(held)...), lowFences(held)...)
 }
 
 func (x *Call) judge(rs []stands.Run) (faults []string) {
@@ -72,6 +73,21 @@
 	return faults
 }
 
+// lowFences returns keys that went to another life of a server, or to another server, with a fence that was not above the one before.
+func lowFences(hs []stands.Hold) (faults []string) {
+	sort.Slice(hs, func(a, b int) bool { return hs[a].From.Before(hs[b].From) })
+	for i, b := range hs {
+		for _, a := range hs[:i] {
+			if a.Server != b.Server && a.Fence >= b.Fence && a.First <= b.Last && b.First <= a.Last {
+				faults = append(faults, fmt.Sprintf("keys %d to %d went to %s with fence %d at %s; %s had them with fence %d",
+					max(a.First, b.First), min(a.Last, b.Last), b.Server, b.Fence, b.From.Format("05.000"), a.Server, a.Fence))
+				break
+			}
+		}
+	}
+	return faults
+}
+
 func overlap(a, b stands.Hold) time.Duration {
 	from, until := a.From, a.Until
 	if b.From.After(from) {
