--- a/internal/plat/roster/roster_test.go
+++ b/internal/plat/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -17,8 +18,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var body string
-	srv := &fasthttp.Server{Handler: func(h *fasthttp.RequestCtx) { h.SetBodyString(body) }}
+	var body atomic.Value // string
+	srv := &fasthttp.Server{Handler: func(h *fasthttp.RequestCtx) { h.SetBodyString(body.Load().(string)) }}
 	go func() { _ = srv.Serve(ln) }()
 	defer func() { _ = srv.Shutdown() }()
 	c := roster.New(netip.MustParseAddrPort(ln.Addr().String()))
@@ -33,13 +34,13 @@
 		strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
 		strings.Repeat("[", 100000) + strings.Repeat("]", 100000),
 	} {
-		body = `{"instances":[` + odd + "," + instance + `],"servers":[` + odd + "," + server + `]}`
+		body.Store(`{"instances":[` + odd + "," + instance + `],"servers":[` + odd + "," + server + `]}`)
 		l, err := c.Fetch(t.Context())
 		if err != nil || len(l.Instances) != 1 || l.Instances[0].Name != "i1" || len(l.Servers) != 1 || l.Servers[0].Name != "s1" || !l.Servers[0].Leaving {
 			t.Errorf("beside %.80s: %+v, %v", odd, l, err)
 		}
 	}
-	body = `{"instances":[],"servers":7}`
+	body.Store(`{"instances":[],"servers":7}`)
 	if l, err := c.Fetch(t.Context()); err == nil {
 		t.Errorf("a list that is none: %+v", l)
 	}
