--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -14,11 +14,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
+	"github.com/bramleycove/bramleycove/internal/flow/losses"
 	"github.com/bramleycove/bramleycove/internal/flow/pick"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
@@ -94,18 +94,14 @@
 type Sender struct {
 	cfg Config
 
-	mu          sync.Mutex
-	rnd         *rand.Rand
-	servers     map[string]*serverState
-	budgets     map[string]*retry.Budget
-	crashes     *crash.Tracker
-	keyLoads    map[PoolKey]int
-	crashChecks conc.WaitGroup
-	// successorWaits counts the crash checks that wait for a registration, until closing ends.
-	successorWaits atomic.Int64
-	closing        context.Context //nolint:containedctx // ends with Close
-	stopChecks     context.CancelFunc
-	stop           atomic.Pointer[stopTimes] // nil unless the instance stops
+	mu         sync.Mutex
+	rnd        *rand.Rand
+	servers    map[string]*serverState
+	budgets    map[string]*retry.Budget
+	crashes    *crash.Tracker
+	keyLoads   map[PoolKey]int
+	lossChecks *losses.Checker
+	stop       atomic.Pointer[stopTimes] // nil unless the instance stops
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
 	sharedLatencies map[string]time.Duration
 	sharedAt        time.Time
@@ -134,14 +130,27 @@
 	if cfg.Limits == nil {
 		cfg.Limits = new(quota.Book)
 	}
-	closing, stopChecks := context.WithCancel(context.Background())
-	return &Sender{
-		closing: closing, stopChecks: stopChecks,
+	c := &Sender{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
 		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int),
 	}
+	c.lossChecks = losses.New(cfg.Snapshot, c.recordLoss)
+	return c
 }
 
+// recordLoss adds a strike to a request that was running when the process of s ended.
+func (c *Sender) recordLoss(now time.Time, s *topo.Server, fp crash.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes.RecordLoss(now, s.Incarnation(), []crash.Fingerprint{fp})
+	if c.cfg.OnStrike != nil {
+		c.cfg.OnStrike(fp, s)
+	}
+}
+
+// Close waits for the checks of lost servers in progress. It closes no connections.
+func (c *Sender) Close() { c.lossChecks.Close() }
+
 // Call is a request that is being sent.
 type Call struct {
 	*work.Request
@@ -240,21 +249,6 @@
 	return c.finalError(x, work.NewRefusal(reason, retryAfter))
 }
 
-// stopTimes are the times of a planned stop.
-type stopTimes struct {
-	lastSend time.Time // requests sent until then have had their share of the grace
-	end      time.Time // requests in progress are cut off then
-}
-
-// BeginStop makes the sender refuse requests after lastSend that might still be in progress at end, when the process ends.
-func (c *Sender) BeginStop(lastSend, end time.Time) { c.stop.Store(&stopTimes{lastSend, end}) }
-
-// mayBeCut reports whether a request that is sent now may be cut off by the end of the process.
-func (c *Sender) mayBeCut(now, deadline time.Time) bool {
-	s := c.stop.Load()
-	return s != nil && now.After(s.lastSend) && deadline.After(s.end)
-}
-
 // choosePool returns the pool of a route. If the route has a split, the request id decides.
 func choosePool(r *tables.Route, id string) string {
 	var total float64
@@ -647,7 +641,7 @@
 		c.crashes.RecordSuccess(now, x.Fingerprint)
 	case sent && out == limit.Broken && !errors.Is(err, conns.ErrMismatch):
 		// A process may also crash while it sends the answer, which is then cut short.
-		c.crashChecks.Go(func() { c.checkCrash(t, x.Fingerprint) })
+		c.lossChecks.Begin(t.Server, t.state.pool, x.Fingerprint)
 	}
 	x.serverFull = out == limit.Shed
 	if r.Refusal != RefusedNotOwner && out != limit.Done {
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -61,8 +61,9 @@
 	mu        sync.Mutex
 	idleConns []*conn // most recently used last
 	openCount int
-	opened    uint64 // connections so far
 	closed    bool
+	// openedCount is how many connections were opened so far, attempts included.
+	openedCount uint64
 }
 
 // Options adapt a pool to the protocol of its servers. The zero value is for bramleycove's own protocol.
@@ -381,7 +382,7 @@
 		return nil, ErrLimit
 	}
 	p.openCount++
-	p.opened++
+	p.openedCount++
 	return nil, nil
 }
 
@@ -433,13 +434,6 @@
 	return false
 }
 
-// Opened returns how many connections have been opened so far, attempts included.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // closeIdle closes the idle connections.
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/plat/conns/line.go
@@ -0,0 +1,43 @@
+package conns
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Line sends requests to one address, one at a time on a single connection. The process at the other end of a connection stays the same,
+// whatever listens at the address by now. Line is safe for concurrent use.
+type Line struct {
+	pool *Pool
+	busy chan struct{} // holds an element during a request
+}
+
+// NewLine returns a line without a connection.
+func NewLine(addr netip.AddrPort, o Options) *Line {
+	return &Line{pool: NewWith(addr, 1, o), busy: make(chan struct{}, 1)}
+}
+
+// Do is like Pool.Do, after the requests before it. only, unless 0, is the number of the connection on which req must go out; if that
+// is closed, Do fails with ErrNotOpen. n is the number of the connection that was used.
+func (l *Line) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, only uint64) (n uint64, sent bool, err error) {
+	select {
+	case l.busy <- struct{}{}:
+		defer func() { <-l.busy }()
+	case <-ctx.Done():
+		return 0, false, ctx.Err()
+	}
+	if only != 0 && only != l.pool.opened() {
+		return 0, false, ErrNotOpen
+	}
+	sent, err = l.pool.DoWith(ctx, req, resp, SendOptions{MaxIdle: l.pool.idleTimeout(), OnlyOpen: only != 0})
+	return l.pool.opened(), sent, err
+}
+
+// opened returns how many connections have been opened so far, attempts included.
+func (p *Pool) opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.openedCount
+}
