--- a/test/platf/fleet.go
+++ b/test/platf/fleet.go
@@ -236,6 +236,17 @@
 	return f.AddServer(s.Service, s.DC, s.ID)
 }
 
+// Replace crashes a server and starts another one at once at its address, under another id.
+func (f *Fleet) Replace(s *stands.Server) (*stands.Server, error) {
+	f.KillServer(s, false)
+	f.mu.Lock()
+	id := fmt.Sprintf("%s-%d", s.Service, f.born+1)
+	f.fronts[id] = f.fronts[s.ID]
+	f.mu.Unlock()
+	_ = f.Front(id).SetRefusing(false)
+	return f.AddServer(s.Service, s.DC, id)
+}
+
 // IsReady reports whether an instance says that it takes requests.
 func (in *Instance) IsReady() bool {
 	status, _, err := fasthttp.GetTimeout(nil, "http://"+in.Ready.String()+"/bramleycove/ready", time.Second)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -345,7 +345,8 @@
 			}
 		}()
 	}
-	s.wg.Add(2)
+	s.wg.Add(3)
+	go s.replaceServers()
 	go s.nameLimits()
 	go s.restoreStore()
 	time.Sleep(faultTime)
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -208,13 +208,17 @@
 // Kill ends the server. Its registration stays if gone is false, as that of a crashed one does for a while.
 func (s *Server) Kill(gone bool) {
 	s.mu.Lock()
+	if s.Dead() {
+		s.mu.Unlock()
+		return
+	}
 	now := time.Now()
 	for _, h := range s.holds {
 		s.end(h, now)
 	}
 	s.holds = nil
-	s.mu.Unlock()
 	close(s.stop)
+	s.mu.Unlock()
 	_ = s.ln.Close()
 	go func() { _ = s.http.Shutdown() }()
 	if gone {
