--- a/internal/place/topo/snapshot.go
+++ b/internal/place/topo/snapshot.go
@@ -64,10 +64,11 @@
 	Moving  map[string][]MovingRange // by keyed pool
 }
 
-// HasSuccessor reports whether a process that began after s is registered under its id or at its address, so that s has ended.
-func (w *Snapshot) HasSuccessor(s *Server) bool {
-	for _, x := range w.Servers {
-		if (x.Server == s.Server || x.Address == s.Address) && x.StartMs > s.StartMs {
+// HasSuccessor reports whether a process that began after that of srv is registered under its id or at its address, so that srv has
+// ended.
+func (s *Snapshot) HasSuccessor(srv *Server) bool {
+	for _, x := range s.Servers {
+		if (x.Server == srv.Server || x.Address == srv.Address) && x.StartMs > srv.StartMs {
 			return true
 		}
 	}
