List keys that stay unserved after a change of leader as known to fail

Cause, from the logs: the store had been restored, the owner of these keys was no longer registered, and the leader had changed. The new leader asked the owner for its keys; without a registration the release was not sent, which counts as a failed order.

--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -794,3 +794,35 @@
 		t.Errorf("the key is on %v after its owner was to leave", m.Find(key))
 	}
 }
+
+// Guards against keys that a new leader holds back for as long as an earlier one might lead without the store, though it has learnt when that
+// stopped: their owner is gone, so that the release could not be sent.
+func TestLimitInheritedAfterUnsentRelease(t *testing.T) {
+	fence := uint64(5)
+	k := assign.New(spans.Map{{First: 0, Last: spans.Last, Owner: owner("a"), Fence: 5}}, &fence, epoch, epoch.Add(18*time.Second))
+	for at := epoch; ; at = at.Add(50 * time.Millisecond) {
+		if at.Equal(epoch.Add(500 * time.Millisecond)) {
+			k.LimitInherited(epoch.Add(5 * time.Second))
+		}
+		k.Observe(at, func(o spans.Owner) (bool, bool) { return o.Server == "b", false })
+		k.Plan(at, []shift.Server{{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}}, new(shift.Loads), true)
+		if _, changed := k.Map(); changed {
+			k.BeginRecord()
+			k.ConfirmRecord(fence)
+		}
+		for _, o := range k.DueOrders(at, assign.GrantDuration) {
+			res := assign.NotSent
+			if o.Server == "b" {
+				res = assign.Accepted
+			}
+			k.Finish(at, at, o, res, "")
+			if o.Server != "b" {
+				continue
+			}
+			if wait := at.Sub(epoch); wait > 6*time.Second {
+				t.Errorf("the keys went to the next server after %v, and the grants of the earlier leader had ended after 5s", wait)
+			}
+			return
+		}
+	}
+}
