Keep requests within allowed regions, cold servers' rates and evacuations

Nothing read a route's allowed regions, a pool's rate for cold servers, or the operator's records that evacuate a data centre. flow/allow now decides whether a request may be sent to a server and why not; selection and owner lookup ask it. Cold servers need permits of the leader, as servers that name a limit do, and get no keys while others do. An answer with Server-Leaving and a 503 with Retry-After bind the instance that read it.

--- a/internal/flow/pick/pick.go
+++ b/internal/flow/pick/pick.go
@@ -82,6 +82,9 @@
 // Ready reports whether the server may be used, as far as its failures go.
 func (s *ServerStats) Ready(now time.Time) bool { return !now.Before(s.heldUntil) }
 
+// HeldUntil returns when the server may be used again after failures, a past time if it may be used.
+func (s *ServerStats) HeldUntil() time.Time { return s.heldUntil }
+
 // HasRoom reports whether the limit permits one more request now.
 func (s *ServerStats) HasRoom(now time.Time, urgent bool) bool {
 	limit := s.limit
--- a/internal/flow/quota/arbiter.go
+++ b/internal/flow/quota/arbiter.go
@@ -21,7 +21,7 @@
 
 // Take asks to send a request of a rank to a server's incarnation. It is permitted if no limit is known.
 func (a *Arbiter) Take(now time.Time, incarnation string, rank int) Decision {
-	l, limited := a.Limits.Limit(incarnation)
+	rate, limited := a.Limits.Rate(now, incarnation)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !limited {
@@ -30,18 +30,18 @@
 	}
 	b := a.buckets[incarnation]
 	if b == nil {
-		b = NewBucket(now, l.Rate)
+		b = NewBucket(now, rate)
 		a.buckets[incarnation] = b
 	}
-	return b.Take(now, l.Rate, rank)
+	return b.Take(now, rate, rank)
 }
 
-// Prune forgets the buckets of servers without a limit.
-func (a *Arbiter) Prune() {
+// Prune forgets the buckets of servers that have no limit at now.
+func (a *Arbiter) Prune(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id := range a.buckets {
-		if _, limited := a.Limits.Limit(id); !limited {
+		if _, limited := a.Limits.Rate(now, id); !limited {
 			delete(a.buckets, id)
 		}
 	}
--- a/internal/flow/quota/book.go
+++ b/internal/flow/quota/book.go
@@ -40,6 +40,8 @@
 type Book struct {
 	// OnChange is called when a limit is learnt, changes or ends, with the book locked. It may be nil.
 	OnChange func(incarnation string, l Limit)
+	// ColdRate returns the rate that a server takes while it is cold, and false for a warm one. It may be nil.
+	ColdRate func(now time.Time, incarnation string) (rate float64, limited bool)
 
 	mu      sync.Mutex
 	limits  map[string]*bookEntry
@@ -115,6 +117,20 @@
 	return l, ok && !l.Ended
 }
 
+// Rate returns how many requests per second a server's incarnation takes at now from all instances together: the lower of the limit
+// that it has named and what it takes while it is cold.
+func (b *Book) Rate(now time.Time, incarnation string) (rate float64, limited bool) {
+	l, limited := b.Limit(incarnation)
+	rate = l.Rate
+	if b.ColdRate == nil {
+		return rate, limited
+	}
+	if cold, isCold := b.ColdRate(now, incarnation); isCold && (!limited || cold < rate) {
+		return cold, true
+	}
+	return rate, limited
+}
+
 // Known returns what is known of a server's incarnation, also if its limit has ended.
 func (b *Book) Known(incarnation string) (l Limit, ok bool) {
 	b.mu.Lock()
--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -91,6 +91,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.state.Finish(now, out, took, x.Route.Target, r.Status >= 500)
+	if r.Leaving {
+		t.state.ObserveLeaving(now)
+	}
+	if r.Away > 0 {
+		t.state.ObserveAway(now, r.Away)
+	}
 	if out == limit.Broken && errors.Is(err, syscall.ECONNREFUSED) {
 		t.state.RecordConnRefused(now)
 	}
--- a/internal/flow/sender/choose.go
+++ b/internal/flow/sender/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/flow/allow"
 	"github.com/bramleycove/bramleycove/internal/flow/pick"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -17,47 +18,68 @@
 	if p := w.Tables.Pool(x.poolName); p != nil && p.Keyed {
 		return c.waitForOwner(now, x)
 	}
-	servers := w.Pools[x.poolName]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates := make([]pick.Candidate, 0, len(servers))
-	var denied *deniedError // of the server that may be asked for again first
-	for _, s := range servers {
+	var warm, cold []pick.Candidate
+	f := failure{earliest: &deniedError{}}
+	for _, s := range w.Pools[x.poolName] {
 		if x.tried[s.Server] {
 			continue
 		}
 		st := c.stateOf(now, s)
+		if v := allow.Check(now, c.facts(w, x, s, st, false)); !v.OK() {
+			f.add(v)
+			continue
+		}
 		if e := st.deniedUntil(now, x.Route.Priority); e != nil {
-			if denied == nil || e.until.Before(denied.until) {
-				denied = e
-			}
+			f.addDenied(e)
 			continue
 		}
 		if c.mustConfirm(now, x, s, st) {
 			st.Start()
 			return &target{Server: s, state: st}, nil
 		}
-		candidates = append(candidates, pick.Candidate{
+		d := pick.Candidate{
 			ServerStats: &st.ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
-		})
+		}
+		if _, isCold := coldRate(now, w, s); isCold {
+			cold = append(cold, d)
+		} else {
+			warm = append(warm, d)
+		}
+	}
+	t, full := c.pickServer(now, x, warm)
+	if t == nil {
+		// The few requests that cold servers take are left to callers whom no other server has room for.
+		var coldFull bool
+		t, coldFull = c.pickServer(now, x, cold)
+		full = full || coldFull
+	}
+	switch {
+	case t != nil:
+		return t, nil
+	case full:
+		return nil, errServersFull
+	}
+	return nil, c.failureError(&f)
+}
+
+// pickServer picks one of the candidates, or returns nil. full reports whether a ready server had no room. c.mu is held.
+func (c *Sender) pickServer(now time.Time, x *Call, candidates []pick.Candidate) (t *target, full bool) {
+	if len(candidates) == 0 {
+		return nil, false
 	}
 	choose := pick.Choose
 	if pick.MayDraw(candidates) {
 		choose = pick.Draw
 	}
 	i, full := choose(now, c.rnd, x.isUrgent(), candidates)
-	if i < 0 && full {
-		return nil, errServersFull
-	}
-	if i < 0 && denied != nil {
-		return nil, denied
-	}
 	if i < 0 {
-		return nil, work.NewRefusal(ReasonNoServer, c.jitter(shortRetryAfter))
+		return nil, full
 	}
-	t := &target{Server: candidates[i].Server, state: c.stateOf(now, candidates[i].Server)}
+	t = &target{Server: candidates[i].Server, state: c.stateOf(now, candidates[i].Server)}
 	t.state.Start()
-	return t, nil
+	return t, full
 }
 
 // maxSharedAge is how long shared answer times are used: without a leader, nobody renews them.
--- a/internal/flow/sender/owner.go
+++ b/internal/flow/sender/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/flow/allow"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -33,7 +34,7 @@
 		}
 		if span != nil && moving == nil {
 			s := w.Servers[span.Server]
-			usable := s != nil && s.Owner == span.Owner && !leftOwnership(now, s)
+			usable := s != nil && s.Owner == span.Owner && !c.leftOwnership(now, w, s)
 			switch tried := usable && x.tried[ownershipID(s, span.Fence)]; {
 			case tried && x.serverFull:
 				// The owner is full, and no other owner is expected.
@@ -59,15 +60,16 @@
 	return s.Server + strconv.FormatUint(fence, 10)
 }
 
-// leftOwnership reports whether s is leaving and its keys should have another owner by now. It must get no request 2.5 s
-// after it said so; learning of that takes up to 1.9 s while the leader is lost.
-func leftOwnership(now time.Time, s *topo.Server) bool {
-	return s.Leaving && now.Sub(s.LeavingSince) > leaveGrace
+// leftOwnership reports whether the keys of s should have another owner by now, for which requests wait.
+func (c *Sender) leftOwnership(now time.Time, w *topo.Snapshot, s *topo.Server) bool {
+	f := allow.Facts{Owner: true, InRegion: true}
+	f.EvacuatedSince, _ = w.Evacuations.Since(s.DC)
+	if s.Leaving {
+		f.LeavingSince = s.LeavingSince
+	}
+	return !allow.Check(now, f).OK()
 }
 
-// leaveGrace is how long a leaving server still gets requests for its keys after this instance learns that it leaves.
-const leaveGrace = 500 * time.Millisecond
-
 // waitForChange returns true when changed is closed, and false at until or when ctx is done.
 func waitForChange(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
 	t := time.NewTimer(time.Until(until))
@@ -86,8 +88,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	st := c.stateOf(now, s)
-	if !st.Ready(now) {
-		return nil, work.NewRefusal(ReasonNoOwner, c.jitter(ownerRetryAfter))
+	w, _ := c.cfg.Snapshot()
+	if v := allow.Check(now, c.facts(w, x, s, st, true)); !v.OK() {
+		return nil, c.verdictError(v)
 	}
 	if e := st.deniedUntil(now, x.Route.Priority); e != nil {
 		return nil, e
--- a/internal/flow/sender/permit.go
+++ b/internal/flow/sender/permit.go
@@ -35,12 +35,13 @@
 	rank     int // lower ranks, which are higher numbers, are refused as well
 	until    time.Time
 	returnAt time.Time // when the refused caller should come again
+	reason   string
 }
 
 // deniedError is the failure to choose a server because those with room are at their limits.
 type deniedError struct{ denial }
 
-func (*deniedError) Error() string { return "servers are at the limits that they have named" }
+func (e *deniedError) Error() string { return "servers may not get more requests: " + e.reason }
 
 // limitRefusal returns the error for a caller. All that are refused before the next permit may be asked for have the same time
 // to return, so that it is spread.
@@ -48,7 +49,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := max(e.returnAt.Sub(now), shortRetryAfter)
-	return work.NewRefusal(ReasonServerLimit, d+time.Duration(c.rnd.Int64N(int64(d/2))))
+	return work.NewRefusal(e.reason, d+time.Duration(c.rnd.Int64N(int64(d/2))))
 }
 
 // deniedUntil returns the refusal that holds for a rank, nil if there is none.
@@ -60,12 +61,12 @@
 }
 
 // deny records a refused permit. One for a more urgent rank stays in force, as it also refuses this one.
-func (d *denial) deny(now time.Time, rank int, q quota.Decision) {
+func (d *denial) deny(now time.Time, rank int, reason string, q quota.Decision) {
 	if now.Before(d.until) && d.rank <= rank {
 		d.returnAt = now.Add(q.Return)
 		return
 	}
-	*d = denial{rank: rank, until: now.Add(max(q.Wait, minDenial)), returnAt: now.Add(q.Return)}
+	*d = denial{rank: rank, until: now.Add(max(q.Wait, minDenial)), returnAt: now.Add(q.Return), reason: reason}
 }
 
 // takePermit reports whether a request may be sent to the chosen server. If not, t is given up and the server is not asked
@@ -75,7 +76,7 @@
 		return true
 	}
 	id := t.Server.Incarnation()
-	if _, limited := c.cfg.Limits.Limit(id); !limited {
+	if _, limited := c.cfg.Limits.Rate(now, id); !limited {
 		return true
 	}
 	q := c.cfg.AskPermit(now, id, x.Route.Priority)
@@ -86,7 +87,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.state.Finish(now, limit.Neutral, 0, 0, false)
-	t.state.deny(now, x.Route.Priority, q)
+	reason := ReasonServerLimit
+	w, _ := c.cfg.Snapshot()
+	if _, isCold := coldRate(now, w, t.Server); isCold {
+		reason = ReasonServerCold
+	}
+	t.state.deny(now, x.Route.Priority, reason, q)
 	delete(x.tried, t.ownershipID)
 	return false
 }
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -31,6 +31,9 @@
 	ReasonKeyMoving     = "key-moving"      // the key did not reach its next owner in time
 	ReasonServerBusy    = "server-busy"     // the servers are full
 	ReasonServerLimit   = "server-limit"    // the servers get as many requests as they have named as their limit
+	ReasonServerCold    = "server-cold"     // the servers are cold and get as many requests as they take
+	ReasonAskedAway     = "asked-away"      // the servers have asked this instance to send nothing for a while
+	ReasonRegion        = "region"          // no usable server is in a region where the route is allowed
 	ReasonConnectFailed = "server-connect"  // could not connect to the server
 	ReasonQuarantine    = "quarantine"      // the request has crashed servers
 	ReasonBadKey        = "bad-key"         // the pool is keyed, the key missing or invalid
@@ -54,11 +57,12 @@
 )
 
 // Reply is a decoded answer of a server. Signed tells that it has the server's signature, Leaving that the server is
-// leaving.
+// leaving. Away is how long the server asks to get nothing, 0 if it does not.
 type Reply struct {
 	work.Answer
 	Refusal         Refusal
 	Signed, Leaving bool
+	Away            time.Duration
 	// Limit is the rate of requests that the server takes from all instances together, if the answer names one.
 	Limit quota.Named
 }
@@ -75,6 +79,8 @@
 	ConnOptions   conns.Options
 	// RetryRatio is the number of retries per request and RetrySlack the burst beyond it, for all instances together.
 	RetryRatio, RetrySlack float64
+	// DrainTime is how long a server that says that it leaves may still get requests.
+	DrainTime time.Duration
 	// Limits is where the limits that servers name are recorded. It may be nil.
 	Limits *quota.Book
 	// AskPermit asks to send a request of a rank to a server's incarnation that has named a limit. It may be nil.
--- a/internal/flow/sender/server.go
+++ b/internal/flow/sender/server.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/flow/allow"
 	"github.com/bramleycove/bramleycove/internal/flow/pick"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
@@ -12,6 +13,7 @@
 // serverState is the state kept for one incarnation of a backend server.
 type serverState struct {
 	pick.ServerStats
+	allow.Notices
 	denial
 	pool     *conns.Pool
 	addr     netip.AddrPort
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/hex"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/edge/entry"
+	"github.com/bramleycove/bramleycove/internal/flow/cold"
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/sender"
@@ -46,6 +48,7 @@
 	LowCapacity            bool          // other instances should lead and relay if they can
 	Grace                  time.Duration // from the stop signal until the platform kills the process
 	MaxHold                time.Duration // longest grant that servers accept
+	DrainTime              time.Duration // in which a server that says that it leaves may still get requests
 	MaxOpenFiles           int           // limit of file descriptors; 0 if unknown
 	RetryRatio, RetrySlack float64
 
@@ -84,7 +87,7 @@
 // New returns an instance that starts with Run.
 func New(cfg Config) *Instance {
 	s := &Instance{cfg: cfg, log: cfg.Logger, meter: meter.New(), seeds: cfg.Seeds, grace: cfg.Grace, startedAt: time.Now()}
-	s.limits = &quota.Book{OnChange: s.logLimit}
+	s.limits = &quota.Book{OnChange: s.logLimit, ColdRate: s.coldRate}
 	s.coord = coord.New(coord.Config{
 		Self: cfg.Peers, DC: cfg.Location.DC, Region: cfg.Location.Region, Seeds: s.currentSeeds, Small: cfg.LowCapacity, MaxHold: cfg.MaxHold, Now: clock.Now, Log: cfg.Log,
 		SameValue: func(topic keyed.Topic, old, value []byte) bool {
@@ -100,7 +103,7 @@
 	s.sender = sender.New(cfg.Instance, sender.Config{
 		Location: cfg.Location, Snapshot: s.coord.Snapshot, InstanceCount: s.coord.InstanceCount,
 		WriteRequest: cfg.WriteRequest, ReadReply: cfg.ReadAnswer, ConnOptions: cfg.ServerConnOptions,
-		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, Limits: s.limits, AskPermit: s.permits.Ask, OnAttempt: s.recordAttempt,
+		RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, DrainTime: cfg.DrainTime, Limits: s.limits, AskPermit: s.permits.Ask, OnAttempt: s.recordAttempt,
 		OnStrike: func(fp crash.Fingerprint, srv *topo.Server) {
 			s.log.Warn("strike", "print", hex.EncodeToString(fp[:]), "server", srv.Server)
 		},
@@ -114,6 +117,16 @@
 	return s
 }
 
+// coldRate returns the rate that an incarnation of a server takes while it is cold, and false for a warm one.
+func (s *Instance) coldRate(now time.Time, incarnation string) (rate float64, limited bool) {
+	w := s.snapshot()
+	i := strings.LastIndexByte(incarnation, '/')
+	if srv := w.Servers[incarnation[:max(0, i)]]; srv != nil && srv.Incarnation() == incarnation {
+		return cold.Rate(now, w, srv)
+	}
+	return 0, false
+}
+
 func (s *Instance) snapshot() *topo.Snapshot {
 	snap, _ := s.coord.Snapshot()
 	return snap
--- a/internal/oper/tables/tables.go
+++ b/internal/oper/tables/tables.go
@@ -52,6 +52,7 @@
 	Attempts int           // servers that one request may be sent to; 0 means 1, or 2 with Retry
 	Target   time.Duration // latency within which an answer has its full value
 	Priority int           // 0 is the most urgent
+	Regions  []string      // only servers in these regions may get requests; empty means all regions
 }
 
 // PoolShare is the relative weight of one pool in a split route.
@@ -88,6 +89,8 @@
 
 	Connections int           // limit of each server over all instances, if the platform sets one
 	Warm        time.Duration // how long a key stays slow after it moved without a handover
+	ColdStart   time.Duration // how long a server is cold after its start
+	ColdRate    float64       // requests per second that a cold server takes from all instances together; 0 means no limit
 }
 
 // Server is one backend server.
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -73,7 +73,7 @@
 // takeShare asks this instance's share. a.mu is held.
 func (a *Asker) takeShare(now time.Time, incarnation string) quota.Decision {
 	d := quota.Decision{OK: true}
-	if l, limited := a.Limits.Limit(incarnation); limited {
+	if rate, limited := a.Limits.Rate(now, incarnation); limited {
 		if a.shares == nil {
 			a.shares = make(map[string]*quota.Share)
 		}
@@ -82,7 +82,7 @@
 			s = quota.NewShare(now, rand.Float64())
 			a.shares[incarnation] = s
 		}
-		d = s.Take(now, l.Rate, a.InstanceCount())
+		d = s.Take(now, rate, a.InstanceCount())
 	}
 	a.OnDecision(d, false)
 	return d
--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -14,6 +14,7 @@
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/chunks"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
+	"github.com/bramleycove/bramleycove/internal/place/evac"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
@@ -35,6 +36,8 @@
 	DecodeServer func(id string, value []byte, offset uint64, now time.Time) (*topo.Server, error)
 	// IsOlderServer reports whether the second of two registrations is not newer than the first.
 	IsOlderServer func(known, value []byte) bool
+	// EvacuatedDC returns the data centre that is evacuated while the configuration stream has a record with this key.
+	EvacuatedDC func(key string) (dc string, ok bool)
 }
 
 // Builder holds the state decoded from the records. It is not safe for concurrent use.
@@ -52,6 +55,7 @@
 	HighestFence uint64                    // highest recorded fence
 	EraFences    map[uint64]uint64         // highest recorded fence of each era of the store
 	MovingRanges map[string][]topo.MovingRange
+	Evacuations  evac.State
 
 	routes topo.Routes
 	// former holds servers that are no longer registered. Those that still run but can't reach the store can be asked to
@@ -64,6 +68,10 @@
 	for _, e := range entries {
 		switch topic {
 		case keyed.Config:
+			if dc, ok := b.EvacuatedDC(e.Key); ok {
+				b.applyEvacuation(now, dc, e)
+				continue
+			}
 			b.applyTables(e)
 		case keyed.Servers:
 			b.applyServer(now, e)
@@ -93,6 +101,14 @@
 	b.Log.Info("tables", "version", version, "offset", keyed.FormatPosition(e.Offset), "routes", len(t.Routes), "pools", len(t.Pools))
 }
 
+func (b *Builder) applyEvacuation(now time.Time, dc string, e keyed.Entry) {
+	evacuated := len(e.Value) > 0
+	if _, was := b.Evacuations.Since(dc); was != evacuated {
+		b.Log.Info("evacuation", "dc", dc, "evacuated", evacuated, "offset", keyed.FormatPosition(e.Offset))
+	}
+	b.Evacuations = b.Evacuations.With(now, dc, evacuated)
+}
+
 func (b *Builder) applyServer(now time.Time, e keyed.Entry) {
 	if b.Servers == nil {
 		b.Servers = make(map[string]*topo.Server)
@@ -227,12 +243,12 @@
 		b.Owners = chunks.Decode(b.Chunks)
 	}
 	w := &topo.Snapshot{
-		Version: b.Version, Tables: b.Tables, Routes: b.routes, Owners: b.Owners, Moving: b.MovingRanges,
+		Version: b.Version, Tables: b.Tables, Routes: b.routes, Owners: b.Owners, Moving: b.MovingRanges, Evacuations: b.Evacuations,
 		Servers: make(map[string]*topo.Server, len(b.Servers)), Pools: make(map[string][]*topo.Server),
 	}
 	for id, s := range b.Servers {
 		w.Servers[id] = s
-		if !s.Leaving {
+		if _, evacuated := b.Evacuations.Since(s.DC); !s.Leaving && !evacuated {
 			w.Pools[s.Pool] = append(w.Pools[s.Pool], s)
 		}
 	}
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -17,6 +17,7 @@
 	"github.com/bramleycove/bramleycove/internal/peer/mirror"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/peer/reads"
+	"github.com/bramleycove/bramleycove/internal/place/accept"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/build"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
@@ -83,6 +84,7 @@
 	leader     *leaderState // nil unless this instance leads
 	member     memberState
 	builder    build.Builder
+	accepts    accept.Rules
 	appending  bool // an append to the place stream is under way
 }
 
@@ -124,6 +126,7 @@
 	// Before a restart, this instance may have followed a leader until just now.
 	c.member.followedAt, c.member.followedEarlierAt = cfg.Now(), cfg.Now()
 	c.member.heardAt = c.member.followedAt.Add(-elect.LeaderTimeout)
+	c.accepts.Location = topo.Location{DC: cfg.DC, Region: cfg.Region}
 	c.builder = build.Builder{
 		Decoder: cfg.Decoder, Log: cfg.Events, OnLead: c.observeLead,
 	}
@@ -142,6 +145,15 @@
 	if c.leadership.Observe(c.cfg.Now(), l) && c.leader != nil {
 		c.leader.quorum.SetMembers(l.Members)
 	}
+	c.countInstances(len(l.Members))
+}
+
+// countInstances takes the number of instances that a record of the lead names, unless a push has named them. An instance that took
+// itself for the only one would use all of what servers take from all instances together.
+func (c *Coordinator) countInstances(n int) {
+	if len(c.member.peers) == 0 && c.leader == nil && n > int(c.instanceCount.Load()) {
+		c.instanceCount.Store(int64(n))
+	}
 }
 
 // runInBackground starts a goroutine that Run waits for.
--- a/internal/place/coord/member.go
+++ b/internal/place/coord/member.go
@@ -81,6 +81,7 @@
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
 	c.leadership.Observe(now, l)
+	c.countInstances(len(l.Members))
 	if len(c.member.peers) == 0 {
 		c.member.peers = l.Members
 	}
--- a/internal/place/coord/permit.go
+++ b/internal/place/coord/permit.go
@@ -40,10 +40,9 @@
 	return permit.Answer(time.Now(), l.permits, r)
 }
 
-// namedRate returns the limit of a server.
+// namedRate returns the limit of a server that has named one or is cold.
 func (c *Coordinator) namedRate(s *topo.Server) (rate float64, ok bool) {
-	l, ok := c.cfg.Limits.Limit(s.Incarnation())
-	return l.Rate, ok
+	return c.cfg.Limits.Rate(time.Now(), s.Incarnation())
 }
 
 // currentLimits returns the limits for a push, so that also members that have just started know them.
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -8,6 +8,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
+	"github.com/bramleycove/bramleycove/internal/place/accept"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/place/load"
@@ -92,7 +93,7 @@
 		c.cfg.FillReport(time.Now(), reply)
 		l.gauge.AddReport(reply)
 		l.gauge.EndInterval()
-		l.permits.Prune()
+		l.permits.Prune(time.Now())
 		if c.mayAct(now) {
 			c.planMoves(now)
 		}
@@ -136,10 +137,13 @@
 	g := c.leader.gauge
 	for pool, k := range c.leader.keepers {
 		loads := g.KeyLoads(pool)
-		servers := g.Capacities(c.builder.PoolServers(pool), func(s *topo.Server) bool {
+		candidates := c.builder.PoolServers(pool)
+		owned, _ := k.Map()
+		w, _ := c.Snapshot()
+		servers := g.Capacities(candidates, accept.Accepting(time.Now(), w, candidates, owned, func(s *topo.Server) bool {
 			usable, _ := c.ownerStatus(now, pool, s.Owner)
 			return usable
-		})
+		}))
 		for _, mv := range k.Plan(now, servers, loads, g.IsReliable()) {
 			c.log.Info("move", "pool", pool, "first", int(mv.First), "last", int(mv.Last), "to", mv.To.Server, "load", loads.Sum(mv.First, mv.Last))
 		}
@@ -201,7 +205,8 @@
 	}
 	// A server with a long queue may leave orders unanswered while it serves. It keeps its keys until its grants end.
 	lost := c.leader.reach.IsLost(now, o, func() []spans.Owner { return c.builder.PoolOwners(pool) }) && !c.leader.gauge.HasRecentAnswers(o.Server)
-	return !srv.Leaving && !lost, false
+	w, _ := c.Snapshot()
+	return !srv.Leaving && !lost && c.accepts.MayOwn(w, srv), false
 }
 
 // sendOrders sends orders to one server in the background, in sequence until one fails. c.mu is held.
--- a/internal/place/topo/snapshot.go
+++ b/internal/place/topo/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/evac"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 )
 
@@ -62,6 +63,8 @@
 	Pools   map[string][]*Server     // servers that take new requests, by pool
 	Owners  map[string]spans.Map     // by keyed pool
 	Moving  map[string][]MovingRange // by keyed pool
+	// Evacuations tells which data centres get no requests. Pools has no servers of theirs.
+	Evacuations evac.State
 }
 
 // HasSuccessor reports whether a process that began after that of srv is registered under its id or at its address, so that srv has
