Read the load that servers report from their responses

Reports of refusals are left out: they may come from another process at the address, or from an idle server that refuses all requests.

--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -91,6 +91,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.state.Finish(now, out, took, x.Route.Target, r.Status >= 500)
+	if r.HasLoad && r.Refusal == NotRefused {
+		// A refusal may come from another process at the address, or from an idle server that refuses all requests.
+		t.state.ObserveLoad(now, r.Load)
+	}
 	if r.Leaving {
 		t.state.ObserveLeaving(now)
 	}
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/flow/crash"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
+	"github.com/bramleycove/bramleycove/internal/flow/load"
 	"github.com/bramleycove/bramleycove/internal/flow/losses"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
@@ -65,6 +66,9 @@
 	Away            time.Duration
 	// Limit is the rate of requests that the server takes from all instances together, if the answer names one.
 	Limit quota.Named
+	// Load is what the server reports of its load, if HasLoad is set.
+	Load    load.Report
+	HasLoad bool
 }
 
 // Config holds the settings and dependencies of a Sender. All fields are required unless they say otherwise.
