Bound the requests in flight to a pool by how full its servers say that they are

Servers that tell their load close the connections of requests beyond their queue. Each instance now has a window for a pool and region, which the reports in answers adjust.

--- a/internal/flow/sender/again.go
+++ b/internal/flow/sender/again.go
@@ -34,7 +34,7 @@
 	w, _ := c.cfg.Snapshot()
 	if p := w.Tables.Pool(x.poolName); p != nil && p.Keyed {
 		c.mu.Lock()
-		first.state.Start()
+		first.state.start()
 		c.mu.Unlock()
 		if !c.takePermit(now, x, first) {
 			return nil, work.NewRefusal(ReasonServerLimit, shortRetryAfter)
--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -90,10 +90,13 @@
 func (c *Sender) recordOutcome(now time.Time, x *Call, t *target, out limit.Outcome, took time.Duration, r Reply, sent bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.state.Finish(now, out, took, x.Route.Target, r.Status >= 500)
+	t.state.finish(now, out, took, x.Route.Target, r.Status >= 500)
+	if sent && out == limit.Broken {
+		t.state.window.Reject(now)
+	}
 	if r.HasLoad && r.Refusal == NotRefused {
 		// A refusal may come from another process at the address, or from an idle server that refuses all requests.
-		t.state.ObserveLoad(now, r.Load)
+		t.state.observeLoad(now, t.ownershipID != "", r.Load)
 	}
 	if r.Leaving {
 		t.state.ObserveLeaving(now)
--- a/internal/flow/sender/choose.go
+++ b/internal/flow/sender/choose.go
@@ -21,6 +21,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var warm, cold []pick.Candidate
+	windowFull := false
 	f := failure{earliest: &deniedError{}}
 	for _, s := range w.Pools[x.poolName] {
 		if x.tried[s.Server] {
@@ -36,9 +37,13 @@
 			continue
 		}
 		if c.mustConfirm(now, x, s, st) {
-			st.Start()
+			st.start()
 			return &target{Server: s, state: st}, nil
 		}
+		if !st.window.HasRoom(now, x.Route.Priority) {
+			windowFull = true
+			continue
+		}
 		d := pick.Candidate{
 			ServerStats: &st.ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
 		}
@@ -58,7 +63,7 @@
 	switch {
 	case t != nil:
 		return t, nil
-	case full:
+	case full || windowFull:
 		return nil, errServersFull
 	}
 	return nil, c.failureError(&f)
@@ -78,7 +83,7 @@
 		return nil, full
 	}
 	t = &target{Server: candidates[i].Server, state: c.stateOf(now, candidates[i].Server)}
-	t.state.Start()
+	t.state.start()
 	return t, full
 }
 
--- a/internal/flow/sender/owner.go
+++ b/internal/flow/sender/owner.go
@@ -100,7 +100,7 @@
 	}
 	ownership := ownershipID(s, fence)
 	x.tried[ownership] = true
-	st.Start()
+	st.start()
 	return &target{Server: s, state: st, ownershipID: ownership}, nil
 }
 
--- a/internal/flow/sender/permit.go
+++ b/internal/flow/sender/permit.go
@@ -86,7 +86,7 @@
 	now = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.state.Finish(now, limit.Neutral, 0, 0, false)
+	t.state.finish(now, limit.Neutral, 0, 0, false)
 	reason := ReasonServerLimit
 	w, _ := c.cfg.Snapshot()
 	if _, isCold := coldRate(now, w, t.Server); isCold {
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -19,6 +19,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/retry"
+	"github.com/bramleycove/bramleycove/internal/flow/window"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -105,6 +106,7 @@
 	budgets    map[string]*retry.Budget
 	crashes    *crash.Tracker
 	keyLoads   map[PoolKey]int
+	windows    map[windowKey]*window.Window
 	lossChecks *losses.Checker
 	stop       atomic.Pointer[stopTimes] // nil unless the instance stops
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
@@ -126,7 +128,7 @@
 	}
 	c := &Sender{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
-		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int),
+		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int), windows: make(map[windowKey]*window.Window),
 	}
 	c.lossChecks = losses.New(cfg.Snapshot, c.recordLoss)
 	return c
