--- a/internal/stand/proc/build.go
+++ b/internal/stand/proc/build.go
@@ -15,6 +15,10 @@
 	Daemon, Standin string
 }
 
+// WithoutRace makes Build compile the daemon without the race detector, which takes several times the memory. It is set by
+// TestMain.
+var WithoutRace bool
+
 // The result of Build. RunTests removes programsDir.
 var (
 	programs    Programs
@@ -32,7 +36,7 @@
 		}
 		programs = Programs{filepath.Join(programsDir, "bramleycove"), filepath.Join(programsDir, "standin")}
 		var args []string
-		if raceEnabled {
+		if raceEnabled && !WithoutRace {
 			args = []string{"-race"}
 		}
 		if buildErr = compile(programs.Daemon, "cmd/bramleycove", args...); buildErr == nil {
--- a/test/stands/server.go
+++ b/test/stands/server.go
@@ -93,7 +93,7 @@
 		s.Address = netip.MustParseAddrPort(s.ln.Addr().String())
 	}
 	s.stop, s.slots = make(chan struct{}), make(chan struct{}, s.Slots)
-	s.http = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true, NoDefaultServerHeader: true, IdleTimeout: s.Idle, Logger: quiet{}}
+	s.http = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true, NoDefaultServerHeader: true, MaxRequestBodySize: 64 << 20, IdleTimeout: s.Idle, Logger: quiet{}}
 	go func() { _ = s.http.Serve(s.ln) }()
 	go func() {
 		for {
@@ -411,6 +411,7 @@
 	}
 	h.Response.Header.Set("X-Bramleycove-Server-Stamp", s.ID+"."+id)
 	h.SetBodyString(Body(s.ID, id))
+	h.Response.AppendBody(make([]byte, h.QueryArgs().GetUintOrZero("size")))
 }
 
 // Body is what a server answers to a request.
--- a/test/stands/store.go
+++ b/test/stands/store.go
@@ -48,6 +48,9 @@
 	http *fasthttp.Server
 	rng  *rand.Rand
 
+	// MaxBody is the longest body of a request in the published limits, in bytes.
+	MaxBody int
+
 	mu     sync.Mutex
 	mode   Mode
 	topics map[string][]record
@@ -65,7 +68,7 @@
 	}
 	s := &Store{
 		Address: netip.MustParseAddrPort(ln.Addr().String()), rng: rand.New(rand.NewPCG(seed, 7)),
-		topics: make(map[string][]record), first: make(map[string]uint64), grown: make(chan struct{}),
+		MaxBody: 1 << 20, topics: make(map[string][]record), first: make(map[string]uint64), grown: make(chan struct{}),
 	}
 	s.http = &fasthttp.Server{Handler: s.handle, Logger: quiet{}}
 	go func() { _ = s.http.Serve(ln) }()
@@ -316,7 +319,7 @@
 	for _, name := range keyed {
 		add("services", name, map[string]any{"health-path": "/health", "max-conns": 100, "protocol": "h1", "sharded": true, "warm-s": 1})
 	}
-	add("limits", "", map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-s": 3, "idle-timeout-s": 15})
+	add("limits", "", map[string]any{"max-header-bytes": 16384, "max-body-bytes": s.MaxBody, "header-timeout-s": 3, "idle-timeout-s": 15})
 	data, _ := json.Marshal(map[string]any{"version": fmt.Sprintf("%08x", version), "resources": rs}) // plain values
 	return s.Put("keyed.op", "config", string(data))
 }
