Count what callers and servers make an instance hold in one budget

Only answers had a bound. Bodies of callers were read whole, into a buffer that the library grows and then once more as a copy; their sum, unread answers and requests whose caller had left were not counted. The platform's frontend reads a body into a buffer of its own, which counts as it grows, sends the same buffer on, and counts requests and answers until the answer is taken. Answers of servers share the budget. The published max-body-bytes (413) and header-timeout-s (408) apply, read buffers of heads grow with the head, and connections are limited to half of the budget.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
@@ -21,6 +23,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // Reasons of refusals, as they appear in result.Error.
@@ -31,12 +34,19 @@
 )
 
 const (
-	// maxBody and maxHeader, in bytes, are the highest limits that operators publish. Callers' requests are checked against
-	// the published limits.
+	// maxBody and maxHeader, in bytes, are the highest limits that operators publish. Bodies are also checked against the
+	// published limit.
 	maxBody   = 64 << 20
 	maxHeader = 20 << 10
-	// readTimeout bounds the reading of a request, from its first byte.
+	// readTimeout bounds the reading of a body, and that of a header if operators publish no bound.
 	readTimeout = 30 * time.Second
+	// headerSlack is added to the published bound on the reading of a header, for delays in the network.
+	headerSlack = time.Second
+	// overRetryAfter is the Retry-After time of bodies for which there is no memory: bodies that stall are cut within it.
+	overRetryAfter = time.Second
+	// connBytes is about what an idle connection takes. At most a connMemoryPart-th of the budget is for connections.
+	connBytes      = 20 << 10
+	connMemoryPart = 2
 	// writeTimeout bounds the writing of an answer to a caller that does not read.
 	writeTimeout = 30 * time.Second
 	// idleTimeout is above every idle timeout that operators publish, so that callers close idle connections first. If the
@@ -67,8 +77,10 @@
 
 // Config holds the settings and dependencies of a Frontend. All fields are required unless they say otherwise.
 type Config struct {
-	// MaxConns limits the callers' open connections; 0 means maxConns.
+	// MaxConns limits the callers' open connections; 0 means maxConns. The budget limits them too.
 	MaxConns int
+	// Budget bounds the bytes that callers make the instance hold; nil means intake.Default.
+	Budget   *intake.Budget
 	Snapshot func() *topo.Snapshot
 	// AwaitStart waits until an instance that has just started has tables and servers, or until the given time, and returns the
 	// snapshot then.
@@ -118,14 +130,18 @@
 	if cfg.MaxConns == 0 {
 		cfg.MaxConns = maxConns
 	}
+	if cfg.Budget == nil {
+		cfg.Budget = intake.Default
+	}
+	cfg.MaxConns = min(cfg.MaxConns, max(1, int(cfg.Budget.Limit()/connMemoryPart/connBytes)))
 	if cfg.Panicked == nil {
 		cfg.Panicked = func(error) {}
 	}
 	e.listener.MaxOpen, e.listener.FullAnswer = cfg.MaxConns, []byte(fullAnswer)
 	e.listener.OnFailed, e.listener.OnResumed = cfg.AcceptFailed, cfg.AcceptResumed
 	e.server = pipe.New(pipe.Config[*call]{
-		Limits: maxPipelined, SpareBytes: maxSpareBytes, ReadBuffer: maxHeader, MaxBody: maxBody,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		Limits: maxPipelined, SpareBytes: maxSpareBytes, ReadBuffer: maxHeader, MaxBody: e.maxBody,
+		Budget: cfg.Budget, HeaderTimeout: e.headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 		Read: e.read, Answer: e.answer, Malformed: answerMalformed, Done: e.observe, Panicked: cfg.Panicked,
 		Write:            func(h *fasthttp.Response, x *call, a *work.Answer) { cfg.WriteAnswer(h, a, x.ID) },
 		CloseAfterAnswer: func() bool { return e.stopping.Load() || e.listener.Crowded() },
@@ -154,9 +170,32 @@
 	return e.server.Stop(ctx)
 }
 
+// limits returns the published limits, zero if there are none.
+func (e *Frontend) limits() tables.Limits {
+	if w := e.cfg.Snapshot(); w != nil && w.Tables != nil {
+		return w.Tables.Limits
+	}
+	return tables.Limits{}
+}
+
+// maxBody returns the length of the longest body that a caller may send.
+func (e *Frontend) maxBody() int {
+	if n := e.limits().Body; n > 0 {
+		return min(n, maxBody)
+	}
+	return maxBody
+}
+
+func (e *Frontend) headerTimeout() time.Duration {
+	if d := e.limits().HeaderTime; d > 0 {
+		return min(d+headerSlack, readTimeout)
+	}
+	return readTimeout
+}
+
 // read decodes a request and matches its route, which tells whether it may run beside others of its connection.
-func (e *Frontend) read(h *fasthttp.Request, now time.Time) (x *call, once bool, size int) {
-	x = &call{Call: sender.Call{Request: new(work.Request), ReceivedAt: now}}
+func (e *Frontend) read(h *fasthttp.Request, body []byte, now time.Time) (x *call, once bool, size int) {
+	x = &call{Call: sender.Call{Request: &work.Request{Body: body}, ReceivedAt: now}}
 	if p := panics.Try(func() { x.err = e.matchRoute(h, x, now) }); p != nil {
 		x.err = panicError(p)
 	}
@@ -247,14 +286,18 @@
 // answerMalformed answers requests that could not be read.
 func answerMalformed(h *fasthttp.Response, err error) {
 	status := fasthttp.StatusBadRequest
-	switch err.(type) {
-	case *fasthttp.ErrSmallBuffer:
+	if _, long := err.(*fasthttp.ErrSmallBuffer); long {
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case *net.OpError:
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		status = fasthttp.StatusRequestTimeout
 	}
-	if err == fasthttp.ErrBodyTooLarge {
+	switch err {
+	case fasthttp.ErrBodyTooLarge, intake.ErrTooLong:
 		status = fasthttp.StatusRequestEntityTooLarge
+	case intake.ErrOver:
+		status = fasthttp.StatusServiceUnavailable
+		h.Header.Set("Retry-After", work.FormatRetryAfter(overRetryAfter))
 	}
 	h.SetStatusCode(status)
 	h.Header.SetNoDefaultContentType(true)
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // startFrontend serves w and send until the test ends and returns the frontend's address.
@@ -283,3 +285,43 @@
 		t.Errorf("%v left for a request that waited longer than its timeout", d)
 	}
 }
+
+// Guards against a long body that reaches the server changed, and against wrong statuses of bodies over the published limit, over
+// the budget, and of heads that come too slowly.
+func TestLongBodies(t *testing.T) {
+	w := snapshotWithRoutes()
+	w.Tables.Limits = tables.Limits{Body: 300 << 10, HeaderTime: time.Millisecond}
+	budget := intake.New(1 << 20)
+	e := entry.New(entry.Config{
+		Budget: budget, Snapshot: func() *topo.Snapshot { return w }, AwaitStart: func(time.Time) *topo.Snapshot { return w },
+		ReadRequest: func(h *fasthttp.Request, r *work.Request, _ time.Time) { r.ReadRequest(h) },
+		WriteAnswer: func(h *fasthttp.Response, a *work.Answer, _ string) { a.WriteResponseWithoutVerdict(h) },
+		Send: func(_ time.Time, x *sender.Call) (work.Answer, error) {
+			return work.Answer{Status: 200, Body: x.Body}, nil
+		},
+	})
+	addr := serveFrontend(t, e)
+	for _, c := range []struct {
+		length, status int
+		held           int64 // by others
+	}{{4000, 200, 0}, {9000, 200, 1 << 20}, {250 << 10, 200, 0}, {250 << 10, 503, 1 << 20}, {301 << 10, 413, 0}} {
+		budget.Add(c.held)
+		body := strings.Repeat("0123456789", c.length/10)
+		for framing, text := range map[string]string{
+			fmt.Sprint("Content-Length: ", len(body)): body,
+			"Transfer-Encoding: chunked":              fmt.Sprintf("%x;ext\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 1, body[:1], len(body)-1, body[1:]),
+		} {
+			resp := sendRaw(t, addr, "POST /a/ HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n"+text)
+			if resp.StatusCode() != c.status || c.status == 200 && string(resp.Body()) != body {
+				t.Errorf("%d bytes, %s: got %d with %d bytes", len(body), framing, resp.StatusCode(), len(resp.Body()))
+			}
+			if after := string(resp.Header.Peek("Retry-After")); (after != "") != (c.status == 503) {
+				t.Errorf("%d bytes, %s: Retry-After %q", len(body), framing, after)
+			}
+		}
+		budget.Add(-c.held)
+	}
+	if resp := sendRaw(t, addr, "GET /a/ HTTP/1.1\r\nHost:"); resp.StatusCode() != 408 {
+		t.Errorf("slow head: got %d", resp.StatusCode())
+	}
+}
--- a/internal/edge/pipe/conn.go
+++ b/internal/edge/pipe/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 const (
@@ -23,6 +25,10 @@
 	lingerTime = time.Second
 	// maxLingerBytes bounds that input.
 	maxLingerBytes = 256 << 10
+	// headBuffer is the read buffer of a connection until a longer head arrives.
+	headBuffer = 4 << 10
+	// smallBody is the length up to which a body is read into the buffer of its connection. Most requests are shorter.
+	smallBody      = 4 << 10
 	continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
@@ -31,6 +37,8 @@
 	net.Conn
 	s  *Server[T]
 	br *bufio.Reader
+	// headPart counts the read buffer of a long head, nil if it is short.
+	headPart *intake.Part
 	// ctx ends when the caller is gone.
 	ctx   context.Context //nolint:containedctx // lives as long as the connection
 	leave context.CancelFunc
@@ -40,7 +48,9 @@
 	line    Line
 	pending []*pending[T] // requests of the line
 	counted int           // part of Server.heldBytes
+	failed  bool          // a panic has left a request without an answer
 	bw      *bufio.Writer // used by the goroutine that has set writing
+	written *intake.Part  // a long answer that is being written; used by that goroutine too
 	resp    fasthttp.Response
 	writing bool
 	reading bool // a request has begun to arrive
@@ -59,7 +69,8 @@
 }
 
 func newConn[T any](s *Server[T], nc net.Conn) *conn[T] {
-	c := &conn[T]{Conn: nc, s: s, br: bufio.NewReaderSize(nc, s.cfg.ReadBuffer), bw: bufio.NewWriter(nc)}
+	c := &conn[T]{Conn: nc, s: s, br: bufio.NewReaderSize(nc, min(headBuffer, s.cfg.ReadBuffer))}
+	c.bw = bufio.NewWriter(writer[T]{c})
 	c.changed.L = &c.mu
 	c.line.Limits = s.cfg.Limits
 	c.ctx, c.leave = context.WithCancel(context.Background())
@@ -68,8 +79,13 @@
 
 // serve reads requests until the connection ends or an answer closes it, and waits for the answers.
 func (c *conn[T]) serve() {
-	var h fasthttp.Request
-	for c.readRequest(&h) {
+	defer c.shrinkHead()
+	h := new(fasthttp.Request)
+	for c.readRequest(h) {
+		if c.headPart != nil && c.br.Buffered() == 0 {
+			c.shrinkHead()
+			h = new(fasthttp.Request) // drops its buffers
+		}
 		c.wait(func() bool {
 			return c.broken || c.line.Stopped() || c.line.HasRoom(c.s.heldBytes.Load() < c.s.cfg.SpareBytes)
 		})
@@ -119,18 +135,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = true
-	c.s.heldBytes.Add(int64(-c.counted))
-	c.counted = 0
-	c.changed.Broadcast()
+	c.stopLine()
 }
 
-// countBytes brings Server.heldBytes up to date. c.mu is held.
+// countBytes brings Server.heldBytes and the budget up to date. What requests in progress hold counts until they are completed, also
+// when the caller is gone. c.mu is held.
 func (c *conn[T]) countBytes() {
-	if c.broken {
-		return
+	held := c.line.Held()
+	if c.failed {
+		held = 0
 	}
-	c.s.heldBytes.Add(int64(c.line.Held() - c.counted))
-	c.counted = c.line.Held()
+	n := int64(held - c.counted)
+	c.counted = held
+	c.s.heldBytes.Add(n)
+	c.s.cfg.Budget.Add(n)
 }
 
 // stop closes the connection with its next answer, or now if it is idle.
@@ -186,12 +204,19 @@
 		return false
 	}
 	h.Reset()
-	err := h.Header.Read(c.br)
+	err := c.readHead(h)
 	if err == nil && h.MayContinue() {
 		err = c.sendContinue()
 	}
+	var (
+		body []byte
+		part *intake.Part
+	)
 	if err == nil {
-		err = h.ContinueReadBody(c.br, c.s.cfg.MaxBody, false)
+		body, part, err = c.readBody(h)
+	}
+	if part != nil {
+		defer part.End() // the line counts the request from then on
 	}
 	now := time.Now()
 	p := &pending[T]{readAt: now, malformed: err}
@@ -203,7 +228,8 @@
 	case err == nil:
 		last = h.ConnectionClose() || !h.Header.IsHTTP11()
 		p.head = h.Header.IsHead()
-		p.request, once, size = c.s.cfg.Read(h, now)
+		p.request, once, size = c.s.cfg.Read(h, body, now)
+		size += cap(body) - len(body)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,6 +244,68 @@
 	return !last
 }
 
+// readHead reads the head of a request. The buffer grows only for a long one.
+func (c *conn[T]) readHead(h *fasthttp.Request) error {
+	c.readWithin(c.s.cfg.HeaderTimeout())
+	err := h.Header.Read(c.br)
+	if _, long := err.(*fasthttp.ErrSmallBuffer); long && c.br.Size() < c.s.cfg.ReadBuffer {
+		part := c.s.cfg.Budget.Begin(time.Now(), true, c.stopReading)
+		c.headPart = part
+		if !part.Await(int64(c.s.cfg.ReadBuffer), nil) {
+			return intake.ErrOver
+		}
+		begun, _ := c.br.Peek(c.br.Buffered())
+		c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(begun), c.Conn), c.s.cfg.ReadBuffer)
+		h.Reset()
+		if err = h.Header.Read(c.br); err != nil && part.IsCut() {
+			return intake.ErrOver
+		}
+		part.Keep()
+	}
+	c.readWithin(c.s.cfg.ReadTimeout)
+	return err
+}
+
+// readWithin bounds the next reads, unless the connection ends.
+func (c *conn[T]) readWithin(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.line.Stopped() {
+		_ = c.SetReadDeadline(time.Now().Add(d))
+	}
+}
+
+// shrinkHead returns to a short read buffer. Nothing may be buffered, unless no more is read.
+func (c *conn[T]) shrinkHead() {
+	if c.headPart != nil {
+		c.headPart.End()
+		c.headPart, c.br = nil, bufio.NewReaderSize(c.Conn, min(headBuffer, c.s.cfg.ReadBuffer))
+	}
+}
+
+// stopReading makes reads fail until the next deadline is set.
+func (c *conn[T]) stopReading() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
+// readBody reads the body of a request. Unless it is small, it has a buffer of its own, which part counts.
+func (c *conn[T]) readBody(h *fasthttp.Request) (body []byte, part *intake.Part, err error) {
+	length, maxBody := h.Header.ContentLength(), c.s.cfg.MaxBody()
+	switch {
+	case length > maxBody:
+		return nil, nil, intake.ErrTooLong
+	case length >= 0 && length <= smallBody || length == lengthNone:
+		return nil, nil, h.ContinueReadBody(c.br, maxBody, false)
+	}
+	part = c.s.cfg.Budget.Begin(time.Now(), true, c.stopReading)
+	if err = h.ContinueReadBodyStream(c.br, maxBody, false); err == nil {
+		body, err = part.ReadBody(h.BodyStream(), length, maxBody)
+	}
+	h.ResetBody() // drops the stream and what it has read ahead
+	return body, part, err
+}
+
+// lengthNone is fasthttp's length of a request without a body.
+const lengthNone = -2
+
 // sendContinue asks for the body of a request. The answers before it must be written first.
 func (c *conn[T]) sendContinue() error {
 	c.wait(func() bool { return c.broken || c.line.Stopped() || c.line.Len() == 0 && !c.writing })
@@ -253,6 +341,9 @@
 	defer c.s.inProgress.Add(-1)
 	if caught := panics.Try(func() { c.complete(n, p) }); caught != nil {
 		c.s.cfg.Panicked(caught.AsError())
+		c.mu.Lock()
+		c.failed = true
+		c.mu.Unlock()
 		c.abandon()
 		_ = c.Close()
 	}
@@ -319,12 +410,12 @@
 	}
 	if err != nil {
 		c.leave()
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // ends awaitInput
 	}
 	c.mu.Lock()
 	if err != nil {
 		c.stopLine()
 		c.broken = true
+		c.stopReading()
 	}
 }
 
@@ -340,6 +431,13 @@
 	if last {
 		c.resp.SetConnectionClose()
 	}
+	if n := len(p.answer.Body); n > writePiece {
+		part := c.s.cfg.Budget.Begin(time.Now(), false, func() { _ = c.SetWriteDeadline(time.Unix(1, 0)) })
+		defer part.End()
+		c.written = part
+		defer func() { c.written = nil }()
+		part.Weigh(int64(n))
+	}
 	if err := c.resp.Write(c.bw); err != nil || !last {
 		return err
 	}
@@ -353,3 +451,21 @@
 	}
 	return nil
 }
+
+// writePiece is the length in bytes of the writes of a long answer, after each of which it counts as moving.
+const writePiece = 64 << 10
+
+// writer writes to the connection in pieces.
+type writer[T any] struct{ *conn[T] }
+
+func (w writer[T]) Write(data []byte) (n int, err error) {
+	for n < len(data) && err == nil {
+		var m int
+		m, err = w.Conn.Write(data[n:min(len(data), n+writePiece)])
+		n += m
+		if w.written != nil {
+			w.written.Moved(m)
+		}
+	}
+	return n, err
+}
--- a/internal/edge/pipe/conn_test.go
+++ b/internal/edge/pipe/conn_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/edge/pipe"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // backend answers requests by their path. Those whose path has "hold" wait for release or the caller's leaving.
@@ -70,13 +71,19 @@
 }
 
 func start(t testing.TB, spare int64) (*pipe.Server[string], *backend, string) {
+	t.Helper()
+	return startWith(t, spare, intake.New(64<<20))
+}
+
+func startWith(t testing.TB, spare int64, budget *intake.Budget) (*pipe.Server[string], *backend, string) {
 	t.Helper()
 	b := &backend{release: make(chan struct{})}
 	s := pipe.New(pipe.Config[string]{
-		Limits: pipe.Limits{Requests: 4, Bytes: 64 << 10}, SpareBytes: spare, ReadBuffer: 4096, MaxBody: 1 << 20,
+		Limits: pipe.Limits{Requests: 4, Bytes: 64 << 10}, SpareBytes: spare, ReadBuffer: 4096, MaxBody: func() int { return 1 << 20 }, Budget: budget, HeaderTimeout: func() time.Duration { return 5 * time.Second },
 		ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second,
-		Read: func(h *fasthttp.Request, _ time.Time) (string, bool, int) {
-			return string(h.RequestURI()) + string(h.Body()), string(h.Header.Method()) == "POST", 100 + len(h.Body())
+		Read: func(h *fasthttp.Request, body []byte, _ time.Time) (string, bool, int) {
+			body = append(body, h.Body()...)
+			return string(h.RequestURI()) + string(body), string(h.Header.Method()) == "POST", 100 + len(body)
 		},
 		Answer: b.answer, CloseAfterAnswer: b.isClosing,
 		Write: func(h *fasthttp.Response, _ string, a *work.Answer) {
@@ -137,7 +144,7 @@
 			c.t.Fatalf("answer %d, want %q: %v", i, want, err)
 		}
 		if string(resp.Body()) != want || resp.ConnectionClose() != (closes && i == len(bodies)-1) {
-			c.t.Fatalf("answer %d is %q, closes %v, want %q", i, resp.Body(), resp.ConnectionClose(), want)
+			c.t.Fatalf("answer %d is %.50q, %d bytes, closes %v, want %.50q, %d bytes", i, resp.Body(), len(resp.Body()), resp.ConnectionClose(), want, len(want))
 		}
 	}
 	if closes {
@@ -388,3 +395,31 @@
 	<-done
 	return out.String()
 }
+
+// Guards against a long head or body that is cut to pieces, a body that is counted after its answer or after its caller has left,
+// and one that stalls while another needs its bytes.
+func TestBodyBudget(t *testing.T) {
+	budget := intake.New(256 << 10)
+	_, b, addr := startWith(t, 1<<20, budget)
+	long := strings.Repeat("b", 100<<10)
+	stalled := dial(t, addr)
+	stalled.send(strings.TrimSuffix(post("/stalled", long), "b"))
+	await(t, "the stalled body counts", func() bool { return budget.Used() >= 90<<10 })
+	gone := dial(t, addr)
+	gone.send(post("/order", long[1:])[:50<<10])
+	await(t, "the begun body counts", func() bool { return budget.Used() >= 150<<10 })
+	_ = gone.Close()
+	time.Sleep(1100 * time.Millisecond)
+	c := dial(t, addr)
+	head := "GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3500) + "\r\n\r\n"
+	c.send(head + post("/order", long+long) + head)
+	c.want(false, "/a", "/order"+long+long, "/a")
+	var resp fasthttp.Response
+	if err := resp.Read(stalled.br); err != nil || resp.StatusCode() != 400 || !resp.ConnectionClose() {
+		t.Errorf("the stalled body got %d, %v", resp.StatusCode(), err)
+	}
+	if got := fmt.Sprint(b.paths()); strings.Contains(got, "/stalled") {
+		t.Errorf("%d requests ran", len(b.paths()))
+	}
+	await(t, "nothing counts any more", func() bool { return budget.Used() == 0 })
+}
--- a/internal/edge/pipe/server.go
+++ b/internal/edge/pipe/server.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // Config holds the settings and functions of a Server whose requests are decoded to T. All fields are required.
@@ -21,14 +22,19 @@
 	Limits
 	// SpareBytes bounds the bytes that all connections together may hold before no further request is read behind another.
 	SpareBytes int64
-	// ReadBuffer is the longest header, MaxBody the longest body of a request, both in bytes.
-	ReadBuffer, MaxBody int
-	// ReadTimeout bounds the reading of a request from its first byte, IdleTimeout the wait for that, and WriteTimeout the
-	// writing of an answer.
+	// ReadBuffer is the longest header in bytes, MaxBody returns the length of the longest body.
+	ReadBuffer int
+	MaxBody    func() int
+	// Budget counts long heads, bodies and answers. Bodies that exceed it fail with intake.ErrOver.
+	Budget *intake.Budget
+	// HeaderTimeout returns the bound on the reading of a header from its first byte. ReadTimeout bounds the reading of the body
+	// after that, IdleTimeout the wait for the first byte, and WriteTimeout the writing of an answer.
+	HeaderTimeout                          func() time.Duration
 	ReadTimeout, IdleTimeout, WriteTimeout time.Duration
 
-	// Read decodes a request. once means that it must not repeat, size is what it holds in bytes.
-	Read func(h *fasthttp.Request, now time.Time) (r T, once bool, size int)
+	// Read decodes a request. A body that is not nil is that of the request, which h lacks, and may be kept. once means that it must
+	// not repeat, size is what it holds in bytes.
+	Read func(h *fasthttp.Request, body []byte, now time.Time) (r T, once bool, size int)
 	// Answer serves a request. ctx ends when the caller is gone.
 	Answer func(ctx context.Context, r T, now time.Time) work.Answer
 	// Write encodes an answer.
--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -122,7 +122,10 @@
 	h.SetBodyRaw(r.Body)
 }
 
-// ReadResponse copies status, headers and body of h.
+// sharedBody is the length from which the body of an answer is taken from its response instead of copied.
+const sharedBody = 64 << 10
+
+// ReadResponse returns status, headers and body of h, which loses its body if it is large.
 func ReadResponse(h *fasthttp.Response) Answer { return ReadResponseFiltered(h, ForwardsHeader) }
 
 // ReadResponseFiltered is ReadResponse with headers that passes accepts.
@@ -133,7 +136,11 @@
 			a.Headers = append(a.Headers, Header{name, string(v)})
 		}
 	}
-	a.Body = append([]byte(nil), h.Body()...)
+	if body := h.Body(); len(body) > sharedBody {
+		a.Body = h.SwapBody(nil)
+	} else {
+		a.Body = append([]byte(nil), body...)
+	}
 	return a
 }
 
--- a/internal/oper/meter/meter.go
+++ b/internal/oper/meter/meter.go
@@ -14,6 +14,7 @@
 	reporter "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 const (
@@ -128,6 +129,14 @@
 	return m.scope.Tagged(tags).Gauge(name)
 }
 
+// RecordBudget brings the metrics of a budget up to date.
+func (m *Meter) RecordBudget(b *intake.Budget) {
+	refused, cut := b.Refusals()
+	for name, n := range map[string]float64{"budget_used_bytes": float64(b.Used()), "budget_refused": float64(refused), "budget_cut": float64(cut)} {
+		m.Gauge(name, nil).Update(n)
+	}
+}
+
 // Text returns the metrics in the Prometheus text format, up to a second old. After an error some are missing.
 func (m *Meter) Text() ([]byte, error) {
 	families, err := m.registry.Gather()
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -97,6 +97,7 @@
 
 func (s *Instance) handleMetrics(h *fasthttp.RequestCtx) {
 	s.meter.Gauge("held_bytes", nil).Update(float64(s.frontend.HeldBytes()))
+	s.meter.RecordBudget(s.cfg.Budget)
 	text, err := s.meter.Text()
 	if err != nil {
 		s.log.Warn("metrics-incomplete", "error", err)
--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -30,6 +30,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 )
 
@@ -51,6 +52,8 @@
 	DrainTime              time.Duration // in which a server that says that it leaves may still get requests
 	MaxOpenFiles           int           // limit of file descriptors; 0 if unknown
 	RetryRatio, RetrySlack float64
+	// Budget counts what callers and servers make the instance hold.
+	Budget *intake.Budget
 
 	build.Decoder
 	Log               keyed.Log
@@ -109,7 +112,7 @@
 		},
 	})
 	s.frontend = entry.New(entry.Config{
-		MaxConns: int(float64(cfg.MaxOpenFiles) * callerConnShare),
+		MaxConns: int(float64(cfg.MaxOpenFiles) * callerConnShare), Budget: cfg.Budget,
 		Snapshot: s.snapshot, AwaitStart: s.awaitStart, ReadRequest: cfg.ReadRequest, WriteAnswer: cfg.WriteAnswer, Send: s.sender.Send, Observe: s.recordOutcome,
 		AcceptFailed: s.logAcceptFailed, AcceptResumed: s.logAcceptResumed,
 		Panicked: func(err error) { s.log.Error("connection-failed", "error", err) },
--- a/internal/plat/conns/budget.go
+++ b/internal/plat/conns/budget.go
@@ -1,63 +1,62 @@
 package conns
 
 import (
-	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
-// ErrTooLarge means that an answer was longer than the pool reads, or that large answers already use the whole Budget.
+// ErrTooLarge means that an answer was longer than the pool reads, or that its Budget is used up.
 var ErrTooLarge = errors.New("answer too large")
 
 const (
 	// freeAnswerBytes is the part of an answer that needs no budget, so that usual answers arrive while large ones use all of it.
 	freeAnswerBytes = 64 << 10
-	// defaultBudgetBytes is the budget of pools without one of their own.
-	defaultBudgetBytes = 256 << 20
+	// unknownLengthCost is what a byte of an answer without a declared length takes in growing buffers.
+	unknownLengthCost = 2
 )
 
-// Budget bounds the memory that large answers take while they are read: a faulty server may send bytes without end until its
-// connection is closed. It may be shared by many pools.
-type Budget struct {
-	limit int64 // bytes
-	used  atomic.Int64
-}
-
-var defaultBudget = NewBudget(defaultBudgetBytes)
-
-// NewBudget returns a budget of limit bytes.
-func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
-
-// Used returns the bytes in use.
-func (b *Budget) Used() int64 { return b.used.Load() }
-
-func (b *Budget) take(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
-	}
-	b.used.Add(-n)
-	return false
-}
-
-func (b *Budget) free(n int64) { b.used.Add(-n) }
-
-// Read counts the bytes of an answer and fails once they exceed what the pool may hold.
+// Read counts the bytes of an answer and fails once they exceed what the pool may hold. While the budget is used up, it waits.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
-	over := c.received - freeAnswerBytes - c.budgeted
-	if over <= 0 {
+	over := unknownLengthCost*(c.received-freeAnswerBytes) - c.budgeted
+	if c.declared || over <= 0 {
 		return n, err
 	}
-	if c.received > maxAnswerSize || !c.budget.take(over) {
+	if c.received > maxAnswerSize || !c.beginPart().Await(over, nil) {
 		return 0, ErrTooLarge // readers go on as long as they get bytes
 	}
 	c.budgeted += over
 	return n, err
 }
 
+// beginPart returns the answer's part of the budget.
+func (c *conn) beginPart() *intake.Part {
+	if c.part == nil {
+		c.part = c.budget.Begin(time.Now(), false, nil)
+	}
+	return c.part
+}
+
+// readDeclared reads a large body of declared length into a buffer of its own.
+func (c *conn) readDeclared(resp *fasthttp.Response, length int) error {
+	c.declared = true
+	body, err := c.beginPart().ReadBody(c.br, length, maxAnswerSize)
+	if errors.IsAny(err, intake.ErrOver, intake.ErrTooLong) {
+		return ErrTooLarge
+	}
+	resp.SwapBody(body)
+	return err
+}
+
 // resetReceived begins the count of the next answer.
 func (c *conn) resetReceived() {
-	c.budget.free(c.budgeted)
-	c.received, c.budgeted = 0, 0
+	if c.part != nil {
+		c.part.End()
+	}
+	c.received, c.budgeted, c.part, c.declared = 0, 0, nil, false
 }
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 var (
@@ -79,8 +80,8 @@
 	IdleTimeout time.Duration
 	// IgnoreKeepAlive is for calls that come so regularly that connections are never idle for long.
 	IgnoreKeepAlive bool
-	// Budget bounds the large answers that are being read; nil means one that is shared by all such pools.
-	Budget *Budget
+	// Budget bounds the large answers that are being read; nil means intake.Default.
+	Budget *intake.Budget
 }
 
 // New returns a pool of at most limit connections to addr; limit 0 means no limit.
@@ -118,9 +119,12 @@
 	abandoned bool
 	br        *bufio.Reader
 	bw        *bufio.Writer
-	budget    *Budget
-	// received counts the bytes of the answer in progress, budgeted those of them that were taken from budget.
+	budget    *intake.Budget
+	// received counts the bytes of the answer in progress, budgeted what was taken from budget for them. part is set once anything
+	// was taken. declared means that the body's buffer is counted instead of the bytes received.
 	received, budgeted int64
+	part               *intake.Part
+	declared           bool
 }
 
 // Write records whether any byte of p was accepted. Only the first write of a request is bound by sendBefore: the permission
@@ -253,7 +257,7 @@
 			return ErrMismatch
 		}
 		if !hasNoBody(req, resp) {
-			if err := p.readBody(resp, c.br); err != nil {
+			if err := p.readBody(c, resp); err != nil {
 				return err
 			}
 		}
@@ -269,14 +273,18 @@
 }
 
 // readBody reads a body that ends by the header, by its chunks or, with AcceptUnframed, with the connection.
-func (p *Pool) readBody(resp *fasthttp.Response, br *bufio.Reader) error {
+func (p *Pool) readBody(c *conn, resp *fasthttp.Response) (err error) {
 	length := resp.Header.ContentLength()
-	if length < -1 && !p.AcceptUnframed {
+	switch {
+	case length < -1 && !p.AcceptUnframed:
 		return ErrNoLength
+	case length > freeAnswerBytes:
+		err = c.readDeclared(resp, length)
+	default:
+		err = resp.ReadBody(c.br, maxAnswerSize)
 	}
-	err := resp.ReadBody(br, maxAnswerSize)
 	if err == nil && length == -1 {
-		err = resp.Header.ReadTrailer(br)
+		err = resp.Header.ReadTrailer(c.br)
 	}
 	if err != nil {
 		return errors.Mark(err, ErrTruncated)
@@ -354,7 +362,7 @@
 	}
 	c = &conn{Conn: nc, bw: bufio.NewWriter(nil), budget: p.Budget}
 	if c.budget == nil {
-		c.budget = defaultBudget
+		c.budget = intake.Default
 	}
 	c.br = bufio.NewReader(c)
 	return c, true, nil
--- a/internal/plat/conns/endless_test.go
+++ b/internal/plat/conns/endless_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // endlessServer writes head, and then more until the connection is closed, to each request for /bad. Others get "ok".
@@ -89,7 +90,7 @@
 				}
 			}()
 			defer func() { _ = ln.Close() }()
-			b := conns.NewBudget(budget)
+			b := intake.New(budget)
 			p := conns.NewWith(netip.MustParseAddrPort(ln.Addr().String()), 2, conns.Options{AcceptUnframed: true, Budget: b})
 			defer p.Close()
 			do := func(path string, timeout time.Duration) (string, bool, error) {
