Count bodies and unread answers of the own interface in the budget

The HTTP library read each body whole into a growing buffer before the frontend saw it, the request was a copy of it, and answers that callers had not read were not counted. Bodies are now streamed: front/body.go reads them into a buffer of their own within the budget, and large answers count until they are written. The new setting limits.memory (by default 256 MiB, more if body or connections call for it) gives the budget and the garbage collector's limit. A body without room is refused with 503, Retry-After and the reason memory; the verdict is not-run, but may-have-run for routes whose request may be a resend. Metrics as on the platform.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // Reasons of refusals, as they appear in result.Error.
@@ -27,6 +28,7 @@
 	ReasonNoLedger   = "no-ledger"
 	ReasonPanic      = "internal"
 	ReasonBadRequest = "bad-request"
+	ReasonMemory     = "memory" // no room for the body
 )
 
 // fullAnswer is the answer to a connection beyond the limit. Its request was not read and may be a resend of work that has
@@ -52,6 +54,8 @@
 	// Observe is called after each request. It may be nil.
 	Observe func(Outcome)
 
+	// Budget bounds the bytes of bodies and answers that callers make the instance hold; nil means intake.Default.
+	Budget      *intake.Budget
 	MaxBody     int           // bytes; 0 means 4 MiB
 	MaxHeader   int           // bytes; 0 means 16 KiB
 	MaxConns    int           // open connections; 0 means 8192
@@ -77,6 +81,7 @@
 }
 
 func (cfg *Config) setDefaults() {
+	setDefault(&cfg.Budget, intake.Default)
 	setDefault(&cfg.MaxBody, 4<<20)
 	setDefault(&cfg.MaxHeader, 16<<10)
 	setDefault(&cfg.MaxConns, 8192)
@@ -98,7 +103,8 @@
 	f.filters = []filter{f.matchRoute, f.claimOnce, f.refuseQuarantined}
 	f.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, DisableDefaultContentType: true, ErrorHandler: f.answerMalformed,
-		BodyLimit: cfg.MaxBody, ReadBufferSize: cfg.MaxHeader, Concurrency: 2 * cfg.MaxConns,
+		// Bodies are read by readBody, which counts what has arrived.
+		StreamRequestBody: true, BodyLimit: cfg.MaxBody, ReadBufferSize: cfg.MaxHeader, Concurrency: 2 * cfg.MaxConns,
 		ReadTimeout: cfg.ReadTimeout, IdleTimeout: cfg.IdleTimeout, WriteTimeout: cfg.ReadTimeout,
 		DisablePreParseMultipartForm: true,
 	})
@@ -118,7 +124,8 @@
 
 // Serve serves connections from ln until Stop. It returns nil after Stop.
 func (f *Frontend) Serve(ln net.Listener) error {
-	return f.app.Listener(&accept.Listener{Listener: ln, MaxOpen: f.cfg.MaxConns, FullAnswer: []byte(fullAnswer)})
+	limited := &accept.Listener{Listener: ln, MaxOpen: f.cfg.MaxConns, FullAnswer: []byte(fullAnswer)}
+	return f.app.Listener(&listener{Listener: limited, budget: f.cfg.Budget})
 }
 
 // Stop stops gracefully: for linger, while the load balancer still sends, it accepts requests and answers with
@@ -135,9 +142,16 @@
 }
 
 func (f *Frontend) handle(c *fiber.Ctx) error {
+	release, err := f.readBody(c.Context())
+	defer release()
+	defer c.Request().ResetBody() // not held while the answer is written
+	if err != nil {
+		f.refuse(c.Context(), err)
+		return nil
+	}
 	x := &call{httpCtx: c.Context(), start: time.Now(), id: f.newID()}
 	var a work.Answer
-	err := f.recoverPanic(func() (err error) {
+	err = f.recoverPanic(func() (err error) {
 		a, err = f.runFilters(x, 0)
 		return err
 	})
@@ -162,6 +176,9 @@
 		writeError(h, x.id, out.Err)
 	} else {
 		a.WriteResponse(h)
+		if c, ok := x.httpCtx.Conn().(*conn); ok {
+			c.beginAnswer(len(a.Body))
+		}
 	}
 	h.Header.Set(work.RequestIDHeader, x.id)
 	if f.stopping.Load() {
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 type testFrontend struct {
@@ -250,3 +252,53 @@
 		t.Errorf("slow sender: %v, %v", resp, err)
 	}
 }
+
+// Guards against long bodies that reach the server changed or are counted after their answer, and against wrong verdicts of bodies
+// that are too long, find no room, end early or come too slowly.
+func TestLongBodies(t *testing.T) {
+	budget := intake.New(1 << 20)
+	f := start(t, front.Config{
+		MaxBody: 300 << 10, Budget: budget, ReadTimeout: time.Second,
+		Send: func(_ context.Context, req *work.Request) (work.Answer, error) {
+			return work.Answer{Status: 200, Body: req.Body}, nil
+		},
+	})
+	for name, c := range map[string]struct {
+		path    string
+		length  int
+		held    int64 // by others
+		cut     int   // bytes that are not sent
+		status  int
+		verdict string
+	}{
+		"short":        {"/plain", 4000, 1 << 20, 0, 200, "ran"},
+		"medium":       {"/plain", 9000, 1 << 20, 0, 200, "ran"},
+		"long":         {"/plain", 250 << 10, 0, 0, 200, "ran"},
+		"no room":      {"/plain", 250 << 10, 1 << 20, 0, 503, "not-run"},
+		"no room once": {"/once", 250 << 10, 1 << 20, 0, 503, "may-have-run"},
+		"too long":     {"/plain", 301 << 10, 0, 0, 413, "not-run"},
+		"slow":         {"/plain", 100 << 10, 0, 1, 408, "may-have-run"},
+		"slow short":   {"/plain", 2000, 0, 1, 408, "may-have-run"},
+	} {
+		body := strings.Repeat("0123456789", c.length/10)
+		budget.Add(c.held)
+		for framing, text := range map[string]string{
+			fmt.Sprint("Content-Length: ", len(body)): body,
+			"Transfer-Encoding: chunked":              fmt.Sprintf("1\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", body[:1], len(body)-1, body[1:]),
+		} {
+			h := f.sendRaw(t, "POST "+c.path+" HTTP/1.1\r\nHost: x\r\n"+framing+"\r\n\r\n"+text[:len(text)-c.cut])
+			if got := string(h.Header.Peek(result.VerdictHeader)); h.StatusCode() != c.status || got != c.verdict || c.status == 200 && string(h.Body()) != body {
+				t.Errorf("%s, %s: got %d, %s, %d bytes", name, framing, h.StatusCode(), got, len(h.Body()))
+			}
+			if after := string(h.Header.Peek("Retry-After")); (after != "") != (c.status == 503) || h.ConnectionClose() != (c.status != 200) {
+				t.Errorf("%s, %s: Retry-After %q, closes %v", name, framing, after, h.ConnectionClose())
+			}
+		}
+		budget.Add(-c.held)
+	}
+	for end := time.Now().Add(5 * time.Second); budget.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes still count", budget.Used())
+		}
+	}
+}
--- a/internal/edge/route/route.go
+++ b/internal/edge/route/route.go
@@ -36,7 +36,7 @@
 }
 
 // Extract builds the request from h and the first route that matches. caller is the caller's address without port. Errors
-// are *result.Error with the verdict NotRun.
+// are *result.Error with the verdict NotRun. The request shares the body of h, which must not be used again.
 func Extract(t *tables.Tables, h *fasthttp.Request, caller string, now time.Time) (Match, error) {
 	path := string(h.URI().Path())
 	r := Find(t, string(h.Header.Method()), path)
@@ -50,7 +50,10 @@
 	if m.Request.Key, ok = extractKey(r.Key, h, path); !ok {
 		return m, badRequest(ReasonNoKey)
 	}
-	m.Request.ReadRequest(h)
+	m.Request.ReadHead(h, work.ForwardsHeader)
+	if body := h.Body(); len(body) > 0 {
+		m.Request.Body = body
+	}
 	sum := hashParts([]byte(m.Request.Method), []byte(m.Request.URI), m.Request.Body)
 	copy(m.Request.Fingerprint[:], sum[:])
 	if r.Once != nil {
--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -79,6 +79,14 @@
 
 // ReadRequestFiltered is ReadRequest with headers that passes accepts.
 func (r *Request) ReadRequestFiltered(h *fasthttp.Request, passes func(name string) bool) {
+	r.ReadHead(h, passes)
+	if body := h.Body(); len(body) > 0 {
+		r.Body = append([]byte(nil), body...)
+	}
+}
+
+// ReadHead copies method, URI, host and headers that passes accepts of h into r.
+func (r *Request) ReadHead(h *fasthttp.Request, passes func(name string) bool) {
 	r.Method, r.URI, r.Host = string(h.Header.Method()), string(h.Header.RequestURI()), string(h.Header.Host())
 	r.Headers = make([]Header, 0, h.Header.Len())
 	for k, v := range h.Header.All() {
@@ -86,9 +94,6 @@
 			r.Headers = append(r.Headers, Header{name, string(v)})
 		}
 	}
-	if body := h.Body(); len(body) > 0 {
-		r.Body = append([]byte(nil), body...)
-	}
 }
 
 // Size returns the bytes that the request holds.
--- a/internal/oper/config/config.go
+++ b/internal/oper/config/config.go
@@ -39,6 +39,19 @@
 	MaxConnections int
 	IdleTimeout    time.Duration // for a connection between requests
 	ReadTimeout    time.Duration // for receiving a whole request
+	Memory         int64         // bytes that the process should stay below
+}
+
+// setMemory sets Memory if it is not stated: at least 256 MiB, and enough for the longest body and for all connections.
+func (l *Limits) setMemory() {
+	const (
+		minMemory = 256 << 20
+		// A budget of three eighths of the memory holds one body, and half of it what idle connections take.
+		bodies, connections, connBytes = 4, 6, 20 << 10
+	)
+	if l.Memory == 0 {
+		l.Memory = max(minMemory, bodies*int64(l.MaxBody), connections*int64(l.MaxConnections)*int64(l.MaxHeader+connBytes))
+	}
 }
 
 // Subsystems lists the names that the debug setting accepts.
--- a/internal/oper/config/config_test.go
+++ b/internal/oper/config/config_test.go
@@ -21,7 +21,7 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	if cfg.Linger != 3*time.Second || cfg.AppendsPerSec != 200 || cfg.Limits.MaxHeader != 16<<10 || cfg.Limits.MaxBody != 1<<20 {
+	if cfg.Linger != 3*time.Second || cfg.AppendsPerSec != 200 || cfg.Limits.MaxHeader != 16<<10 || cfg.Limits.MaxBody != 1<<20 || cfg.Limits.Memory != 256<<20 {
 		t.Errorf("read as %+v", cfg)
 	}
 	if cfg.Seeds[0].Port() != 9003 || cfg.DebugSubsystems[0] != "place" || cfg.AdvertisedAddr.IsValid() || cfg.Limits.IdleTimeout != 30*time.Second {
@@ -36,6 +36,7 @@
 		{`"place"]`, `"plce"]`, `s:5:29: unknown subsystem "plce"; did you mean "place"?`},
 		{`"idle"`, `"idel"`, `s:6:33: unknown field "idel"; did you mean "idle"?`},
 		{`16KiB`, `9GiB`, `s:6:24: "9GiB" is not a size up to 1GiB; write it as "512B", "8KiB" or "1MiB"`},
+		{`"idle": "30s"`, `"memory": "2MiB"`, `s:6:43: a body of 1048576 bytes does not fit into three eighths of it`},
 		{`"peer": "127.0.0.1:0"`, `"peer": "0.0.0.0:0"`, `s:3:39: 0.0.0.0:0 listens on all addresses, so advertise must name the one that other instances use`},
 		{`"peer": "127.0.0.1:0"`, `"peer": "127.0.0.1:8001"`, `s:3:39: 127.0.0.1:8001 is already the address of caller`},
 		{`"log": "127.0.0.1:9001", `, ``, `s:1:1: field "log" is missing`},
--- a/internal/oper/config/read.go
+++ b/internal/oper/config/read.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 var settingNames = []string{
@@ -56,6 +57,7 @@
 	if o.Has("limits") {
 		readLimits(o.Get("limits"), &cfg.Limits)
 	}
+	cfg.Limits.setMemory()
 	return cfg
 }
 
@@ -118,7 +120,7 @@
 }
 
 func readLimits(n jsonc.Node, l *Limits) {
-	o := n.Object("header", "body", "connections", "idle", "read")
+	o := n.Object("header", "body", "connections", "idle", "read", "memory")
 	if o.Has("header") {
 		l.MaxHeader = readSize(o.Get("header"))
 	}
@@ -134,6 +136,12 @@
 	if o.Has("read") {
 		l.ReadTimeout = o.Get("read").Duration(maxTimeout)
 	}
+	if o.Has("memory") {
+		l.Memory = int64(readSize(o.Get("memory")))
+		if l.Memory > 0 && intake.ForMemory(l.Memory) < int64(l.MaxBody) {
+			o.Get("memory").AddFault("a body of %d bytes does not fit into three eighths of it", l.MaxBody)
+		}
+	}
 }
 
 // readSize reads a size in bytes, written as a number or as a string such as "8KiB".
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,7 @@
 	"github.com/bramleycove/bramleycove/internal/place/fold"
 	"github.com/bramleycove/bramleycove/internal/place/view"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
@@ -161,11 +163,21 @@
 	d.forwarder.DialAddr = d.dialAddr
 	d.forwarder.SetLink(link.New(int64(cfg.LinkBytesPerSec)))
 	d.member = member.New(d.memberConfig())
+	if n := cfg.Limits.Memory; n > 0 {
+		// The garbage collector works harder before the process exceeds its memory.
+		debug.SetMemoryLimit(n * 3 / 4)
+		intake.Default.SetLimit(intake.ForMemory(n))
+	}
 	d.front = front.New(d.frontConfig())
-	d.admin = admin.New(admin.Sources{Status: d.status, Explain: d.explainRoute, Metrics: d.meter.Text})
+	d.admin = admin.New(admin.Sources{Status: d.status, Explain: d.explainRoute, Metrics: d.metrics})
 	return d
 }
 
+func (d *daemon) metrics() ([]byte, error) {
+	d.meter.RecordBudget(intake.Default)
+	return d.meter.Text()
+}
+
 func (d *daemon) foldsConfig() folds.Config {
 	log := d.log.For("plat")
 	return folds.Config{
--- a/internal/plat/intake/intake.go
+++ b/internal/plat/intake/intake.go
@@ -151,6 +151,14 @@
 	p.weight = n
 }
 
+// Add counts n more bytes of the part, whatever the limit.
+func (p *Part) Add(n int64) {
+	p.b.mu.Lock()
+	defer p.b.mu.Unlock()
+	p.b.used += n
+	p.held += n
+}
+
 // Keep ends the reading or writing of the part, which still holds its bytes. It is not cut any more.
 func (p *Part) Keep() {
 	p.b.mu.Lock()
