Treat an answer without a valid status as broken

On the platform that is a broken answer: a repeatable request gets another attempt within the budget, others 502 and may-have-run. The own interface gives 502, may-have-run and the reason answer-status; it repeats only what has not run.

Before: TestRetryByRouteKind got 200 for 000 and 504 after the deadline for 099, and sent 600 with Not-Run to a second server; TestVerdicts got 200, 504 and 503.

--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -79,7 +79,7 @@
 		return limit.Timeout, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonConnectFailed)
 	case ctx.Err() != nil:
 		return limit.Timeout, fail(result.MayHaveRun, fasthttp.StatusGatewayTimeout, ReasonTimeout)
-	case errors.Is(err, conns.ErrTruncated), errors.Is(err, conns.ErrMismatch), errors.Is(err, conns.ErrNoLength):
+	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, conns.ErrStatus):
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	default:
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonServerLost)
--- a/internal/flow/sender/sender_test.go
+++ b/internal/flow/sender/sender_test.go
@@ -38,6 +38,9 @@
 	answerShed = "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	answer500  = "HTTP/1.1 500 Oops\r\nRequest-Id: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n"
 	answerCut  = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nStamp: s\r\nContent-Length: 9\r\n\r\nok"
+	answer000  = "HTTP/1.1 000 Oops\r\nRequest-Id: %s\r\nStamp: s\r\nContent-Length: 2\r\n\r\nno"
+	answer099  = "\r\nHTTP/1.1 099 Oops\r\nRequest-Id: %s\r\nStamp: s\r\nContent-Length: 2\r\n\r\nno"
+	answer600  = "HTTP/1.1  600 Oops\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno"
 	answerNone = "" // closes the connection without an answer
 	answerHang = "hang"
 )
@@ -180,8 +183,8 @@
 	})
 }
 
-// Guards against non-repeatable work being sent again, or reported as not run, after it may have run, and against
-// repeatable work being given up after one failure.
+// Guards against non-repeatable work being sent again, or reported as not run, after it may have run, against an answer without a
+// valid status that reaches the caller, and against repeatable work being given up after one failure.
 func TestRetryByRouteKind(t *testing.T) {
 	for name, c := range map[string]struct {
 		first     string
@@ -194,11 +197,17 @@
 		"once, refused":         {answerShed, true, 200, result.Ran, 1},
 		"once, lost":            {answerNone, true, 502, result.MayHaveRun, 0},
 		"once, cut short":       {answerCut, true, 502, result.MayHaveRun, 0},
+		"once, status 000":      {answer000, true, 502, result.MayHaveRun, 0},
+		"once, status 099":      {answer099, true, 502, result.MayHaveRun, 0},
+		"once, status 600":      {answer600, true, 502, result.MayHaveRun, 0},
 		"once, failed":          {answer500, true, 500, result.Ran, 0},
 		"once, no answer":       {answerHang, true, 504, result.MayHaveRun, 0},
 		"repeatable, refused":   {answerShed, false, 200, result.Ran, 1},
 		"repeatable, lost":      {answerNone, false, 200, result.Ran, 1},
 		"repeatable, cut short": {answerCut, false, 200, result.Ran, 1},
+		"repeatable, 000":       {answer000, false, 200, result.Ran, 1},
+		"repeatable, 099":       {answer099, false, 200, result.Ran, 1},
+		"repeatable, 600":       {answer600, false, 200, result.Ran, 1},
 		"repeatable, failed":    {answer500, false, 200, result.Ran, 1},
 		"repeatable, no answer": {answerHang, false, 504, result.MayHaveRun, 0},
 	} {
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -34,6 +34,8 @@
 	ErrTruncated = errors.New("answer cut short")
 	// ErrMismatch means that an answer does not echo the request's id.
 	ErrMismatch = errors.New("answer of another request")
+	// ErrStatus means that the status of an answer is below 100 or above 599.
+	ErrStatus = errors.New("answer without valid status")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
 	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
@@ -323,22 +325,6 @@
 	return d
 }
 
-// maxInterim bounds the interim (1xx) answers to one request. Each costs processor time.
-const maxInterim = 16
-
-// readHeader reads the header of the final answer and skips interim (1xx) ones.
-func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
-	for range maxInterim + 1 {
-		if err := resp.Header.Read(br); err != nil {
-			return err
-		}
-		if s := resp.StatusCode(); s >= 200 || s == fasthttp.StatusSwitchingProtocols {
-			return nil
-		}
-	}
-	return ErrInterim
-}
-
 // acquire returns an idle connection on which nothing has arrived, or a new one.
 func (p *Pool) acquire(ctx context.Context, opts SendOptions) (c *conn, isNew bool, err error) {
 	c, err = p.reserve(time.Now(), opts)
--- a/internal/plat/server/send.go
+++ b/internal/plat/server/send.go
@@ -27,6 +27,7 @@
 	ReasonCancelled = "cancelled"        // the caller gave up
 	ReasonMismatch  = "answer-mismatch"  // the answer belongs to another request
 	ReasonLength    = "answer-length"    // the answer was truncated, or its length cannot be checked
+	ReasonStatus    = "answer-status"    // the answer has no valid status
 	ReasonLapsed    = "lease-lapsed"     // permission to send ended before the first byte was written
 	ReasonLimit     = "connection-limit" // all permitted connections are in use
 )
@@ -97,6 +98,8 @@
 		e.Reason = ReasonCancelled
 	case errors.Is(err, conns.ErrMismatch):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMismatch
+	case errors.Is(err, conns.ErrStatus):
+		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonStatus
 	case sent && isTruncated(err):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonLength
 	}
