Don't blame a server for an answer that finds no memory

An answer that the budget has no room for counted as broken, so that hostile callers who use the budget up would have taken servers out of service. conns now marks such an error as intake.ErrOver unless the answer alone takes half of the budget or more than 64 MB, and the sender leaves the server's state as it is; the request fails with 502, may have run, as before. Tests cover this, an answer that waits until there is room, and heads of 15 KB, which no test sent through pipe's growing read buffer.

--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -286,7 +286,7 @@
 	}
 }
 
-// Guards against a long body that reaches the server changed, and against wrong statuses of bodies over the published limit, over
+// Guards against a long head or body that changes on its way or is counted after its answer, and against wrong statuses of bodies over the published limit, over
 // the budget, and of heads that come too slowly.
 func TestLongBodies(t *testing.T) {
 	w := snapshotWithRoutes()
@@ -321,7 +321,37 @@
 		}
 		budget.Add(-c.held)
 	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	longHead := "POST /a/ HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 15<<10) + "\r\n"
+	br, body := bufio.NewReader(c), strings.Repeat("0123456789", 1000)
+	for _, held := range []int64{0, 0, 1 << 21} {
+		budget.Add(held)
+		for range 3 {
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s%s\r\n", longHead, len(body), body, getRequest("/a/"))
+		}
+		for i := range 6 {
+			resp := new(fasthttp.Response)
+			if err := resp.Read(br); held > 0 {
+				if err != nil || resp.StatusCode() != 503 || !resp.ConnectionClose() {
+					t.Errorf("long head without room: got %d, %v", resp.StatusCode(), err)
+				}
+				break
+			} else if err != nil || resp.StatusCode() != 200 || i%2 == 0 && string(resp.Body()) != body || i%2 == 1 && len(resp.Body()) > 0 {
+				t.Fatalf("long head, answer %d: got %d with %d bytes, %v", i, resp.StatusCode(), len(resp.Body()), err)
+			}
+		}
+		budget.Add(-held)
+	}
 	if resp := sendRaw(t, addr, "GET /a/ HTTP/1.1\r\nHost:"); resp.StatusCode() != 408 {
 		t.Errorf("slow head: got %d", resp.StatusCode())
 	}
+	for end := time.Now().Add(5 * time.Second); budget.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes still count", budget.Used())
+		}
+	}
 }
--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 // attempt sends the request once. sent tells whether the server may have got it.
@@ -79,6 +80,9 @@
 		return limit.Timeout, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonConnectFailed)
 	case ctx.Err() != nil:
 		return limit.Timeout, fail(result.MayHaveRun, fasthttp.StatusGatewayTimeout, ReasonTimeout)
+	case errors.Is(err, intake.ErrOver):
+		// The instance has no memory for the answer; the server is sound.
+		return limit.Neutral, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, conns.ErrStatus):
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	default:
--- a/internal/plat/conns/budget.go
+++ b/internal/plat/conns/budget.go
@@ -17,8 +17,19 @@
 	freeAnswerBytes = 64 << 10
 	// unknownLengthCost is what a byte of an answer without a declared length takes in growing buffers.
 	unknownLengthCost = 2
+	// faultyShare is the divisor of the budget for what a single answer takes when it is found too large. One that takes less was
+	// refused because of others.
+	faultyShare = 2
 )
 
+// tooLarge returns the error of an answer that takes n bytes. It is marked as intake.ErrOver unless the answer itself is at fault.
+func (c *conn) tooLarge(n int64) error {
+	if n > maxAnswerSize || n > c.budget.Limit()/faultyShare {
+		return ErrTooLarge
+	}
+	return errors.Mark(ErrTooLarge, intake.ErrOver)
+}
+
 // Read counts the bytes of an answer and fails once they exceed what the pool may hold. While the budget is used up, it waits.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -28,7 +39,7 @@
 		return n, err
 	}
 	if c.received > maxAnswerSize || !c.beginPart().Await(over, nil) {
-		return 0, ErrTooLarge // readers go on as long as they get bytes
+		return 0, c.tooLarge(c.budgeted + over) // readers go on as long as they get bytes
 	}
 	c.budgeted += over
 	return n, err
@@ -47,7 +58,7 @@
 	c.declared = true
 	body, err := c.beginPart().ReadBody(c.br, length, maxAnswerSize)
 	if errors.IsAny(err, intake.ErrOver, intake.ErrTooLong) {
-		return ErrTooLarge
+		return c.tooLarge(int64(length))
 	}
 	resp.SwapBody(body)
 	return err
