Read a long request's header before it is written

The answer to a request with a body above 16 kB is read while the request is written, and the HTTP library changes the header as it writes, so that the id with which the answer is compared was read in a race. What the answer must match is now taken beforehand. TestLongRequest failed with -race before and passes now.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -210,6 +210,8 @@
 // sendAndReceive sends req and reads the answer to it. Without an error, reuse reports whether both were complete, so that
 // the connection may carry another request.
 func (p *Pool) sendAndReceive(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response) (reuse bool, err error) {
+	// While a long request is written, its header must not be read.
+	want := expected{id: append([]byte(nil), req.Header.Peek(p.echoHeader())...), head: req.Header.IsHead()}
 	var writeDone chan error
 	if len(req.Body()) > minConcurrentBody {
 		// A server may answer before it has read a long body, and read the rest only once its answer has been read.
@@ -218,12 +220,12 @@
 		go wg.Try(func() { writeDone <- c.send(ctx, req) })
 	} else if err := c.send(ctx, req); err != nil {
 		// The write may have failed because the server refused the request and closed before it had read all of it.
-		if !c.sent || ctx.Err() != nil || p.receive(c, req, resp) != nil {
+		if !c.sent || ctx.Err() != nil || p.receive(c, want, resp) != nil {
 			return false, err
 		}
 		return false, nil
 	}
-	err = p.receive(c, req, resp)
+	err = p.receive(c, want, resp)
 	reuse = err == nil && resp.Header.ContentLength() != lengthUntilClose && c.br.Buffered() == 0
 	if writeDone != nil {
 		select {
@@ -246,19 +248,24 @@
 // the buffers of a connection.
 const minConcurrentBody = 16 << 10
 
-// receive reads the answer to req. It skips up to MaxForeign complete answers to other requests.
-func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
-	id := req.Header.Peek(p.echoHeader())
+// expected describes the answer to a request.
+type expected struct {
+	id   []byte // that the answer echoes, empty if there is none
+	head bool   // the request's method is HEAD
+}
+
+// receive reads the answer to a request. It skips up to MaxForeign complete answers to other requests.
+func (p *Pool) receive(c *conn, want expected, resp *fasthttp.Response) error {
 	for n := 0; ; n++ {
 		resp.Reset()
 		if err := readHeader(resp, c.br); err != nil {
 			return err
 		}
-		foreign := len(id) > 0 && !bytes.Equal(id, resp.Header.Peek(p.echoHeader()))
+		foreign := len(want.id) > 0 && !bytes.Equal(want.id, resp.Header.Peek(p.echoHeader()))
 		if foreign && (n >= p.MaxForeign || resp.Header.ContentLength() == lengthUntilClose) {
 			return ErrMismatch
 		}
-		if !hasNoBody(req, resp) {
+		if !want.hasNoBody(resp) {
 			if err := p.readBody(c, resp); err != nil {
 				return err
 			}
@@ -269,9 +276,9 @@
 	}
 }
 
-func hasNoBody(req *fasthttp.Request, resp *fasthttp.Response) bool {
+func (e expected) hasNoBody(resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
-	return req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return e.head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 // readBody reads a body that ends by the header, by its chunks or, with AcceptUnframed, with the connection.
