--- a/internal/flow/work/work.go
+++ b/internal/flow/work/work.go
@@ -79,6 +79,14 @@
 
 // ReadRequestFiltered is ReadRequest with headers that passes accepts.
 func (r *Request) ReadRequestFiltered(h *fasthttp.Request, passes func(name string) bool) {
+	r.ReadHead(h, passes)
+	if body := h.Body(); len(body) > 0 {
+		r.Body = append([]byte(nil), body...)
+	}
+}
+
+// ReadHead copies method, URI, host and headers that passes accepts of h into r.
+func (r *Request) ReadHead(h *fasthttp.Request, passes func(name string) bool) {
 	r.Method, r.URI, r.Host = string(h.Header.Method()), string(h.Header.RequestURI()), string(h.Header.Host())
 	r.Headers = make([]Header, 0, h.Header.Len())
 	for k, v := range h.Header.All() {
@@ -86,9 +94,6 @@
 			r.Headers = append(r.Headers, Header{name, string(v)})
 		}
 	}
-	if body := h.Body(); len(body) > 0 {
-		r.Body = append([]byte(nil), body...)
-	}
 }
 
 // Size returns the bytes that the request holds.
@@ -122,7 +127,10 @@
 	h.SetBodyRaw(r.Body)
 }
 
-// ReadResponse copies status, headers and body of h.
+// sharedBody is the length from which the body of an answer is taken from its response instead of copied.
+const sharedBody = 64 << 10
+
+// ReadResponse returns status, headers and body of h, which loses its body if it is large.
 func ReadResponse(h *fasthttp.Response) Answer { return ReadResponseFiltered(h, ForwardsHeader) }
 
 // ReadResponseFiltered is ReadResponse with headers that passes accepts.
@@ -133,7 +141,11 @@
 			a.Headers = append(a.Headers, Header{name, string(v)})
 		}
 	}
-	a.Body = append([]byte(nil), h.Body()...)
+	if body := h.Body(); len(body) > sharedBody {
+		a.Body = h.SwapBody(nil)
+	} else {
+		a.Body = append([]byte(nil), body...)
+	}
 	return a
 }
 
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
 var (
@@ -33,6 +34,8 @@
 	ErrTruncated = errors.New("answer cut short")
 	// ErrMismatch means that an answer does not echo the request's id.
 	ErrMismatch = errors.New("answer of another request")
+	// ErrStatus means that the status of an answer is below 100 or above 599.
+	ErrStatus = errors.New("answer without valid status")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
 	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
@@ -79,8 +82,8 @@
 	IdleTimeout time.Duration
 	// IgnoreKeepAlive is for calls that come so regularly that connections are never idle for long.
 	IgnoreKeepAlive bool
-	// Budget bounds the large answers that are being read; nil means one that is shared by all such pools.
-	Budget *Budget
+	// Budget bounds the large answers that are being read; nil means intake.Default.
+	Budget *intake.Budget
 }
 
 // New returns a pool of at most limit connections to addr; limit 0 means no limit.
@@ -118,9 +121,12 @@
 	abandoned bool
 	br        *bufio.Reader
 	bw        *bufio.Writer
-	budget    *Budget
-	// received counts the bytes of the answer in progress, budgeted those of them that were taken from budget.
+	budget    *intake.Budget
+	// received counts the bytes of the answer in progress, budgeted what was taken from budget for them. part is set once anything
+	// was taken. declared means that the body's buffer is counted instead of the bytes received.
 	received, budgeted int64
+	part               *intake.Part
+	declared           bool
 }
 
 // Write records whether any byte of p was accepted. Only the first write of a request is bound by sendBefore: the permission
@@ -204,6 +210,8 @@
 // sendAndReceive sends req and reads the answer to it. Without an error, reuse reports whether both were complete, so that
 // the connection may carry another request.
 func (p *Pool) sendAndReceive(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response) (reuse bool, err error) {
+	// While a long request is written, its header must not be read.
+	want := expected{id: append([]byte(nil), req.Header.Peek(p.echoHeader())...), head: req.Header.IsHead()}
 	var writeDone chan error
 	if len(req.Body()) > minConcurrentBody {
 		// A server may answer before it has read a long body, and read the rest only once its answer has been read.
@@ -212,12 +220,12 @@
 		go wg.Try(func() { writeDone <- c.send(ctx, req) })
 	} else if err := c.send(ctx, req); err != nil {
 		// The write may have failed because the server refused the request and closed before it had read all of it.
-		if !c.sent || ctx.Err() != nil || p.receive(c, req, resp) != nil {
+		if !c.sent || ctx.Err() != nil || p.receive(c, want, resp) != nil {
 			return false, err
 		}
 		return false, nil
 	}
-	err = p.receive(c, req, resp)
+	err = p.receive(c, want, resp)
 	reuse = err == nil && resp.Header.ContentLength() != lengthUntilClose && c.br.Buffered() == 0
 	if writeDone != nil {
 		select {
@@ -240,20 +248,25 @@
 // the buffers of a connection.
 const minConcurrentBody = 16 << 10
 
-// receive reads the answer to req. It skips up to MaxForeign complete answers to other requests.
-func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
-	id := req.Header.Peek(p.echoHeader())
+// expected describes the answer to a request.
+type expected struct {
+	id   []byte // that the answer echoes, empty if there is none
+	head bool   // the request's method is HEAD
+}
+
+// receive reads the answer to a request. It skips up to MaxForeign complete answers to other requests.
+func (p *Pool) receive(c *conn, want expected, resp *fasthttp.Response) error {
 	for n := 0; ; n++ {
 		resp.Reset()
 		if err := readHeader(resp, c.br); err != nil {
 			return err
 		}
-		foreign := len(id) > 0 && !bytes.Equal(id, resp.Header.Peek(p.echoHeader()))
+		foreign := len(want.id) > 0 && !bytes.Equal(want.id, resp.Header.Peek(p.echoHeader()))
 		if foreign && (n >= p.MaxForeign || resp.Header.ContentLength() == lengthUntilClose) {
 			return ErrMismatch
 		}
-		if !hasNoBody(req, resp) {
-			if err := p.readBody(resp, c.br); err != nil {
+		if !want.hasNoBody(resp) {
+			if err := p.readBody(c, resp); err != nil {
 				return err
 			}
 		}
@@ -263,20 +276,24 @@
 	}
 }
 
-func hasNoBody(req *fasthttp.Request, resp *fasthttp.Response) bool {
+func (e expected) hasNoBody(resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
-	return req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return e.head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 // readBody reads a body that ends by the header, by its chunks or, with AcceptUnframed, with the connection.
-func (p *Pool) readBody(resp *fasthttp.Response, br *bufio.Reader) error {
+func (p *Pool) readBody(c *conn, resp *fasthttp.Response) (err error) {
 	length := resp.Header.ContentLength()
-	if length < -1 && !p.AcceptUnframed {
+	switch {
+	case length < -1 && !p.AcceptUnframed:
 		return ErrNoLength
+	case length > freeAnswerBytes:
+		err = c.readDeclared(resp, length)
+	default:
+		err = resp.ReadBody(c.br, maxAnswerSize)
 	}
-	err := resp.ReadBody(br, maxAnswerSize)
 	if err == nil && length == -1 {
-		err = resp.Header.ReadTrailer(br)
+		err = resp.Header.ReadTrailer(c.br)
 	}
 	if err != nil {
 		return errors.Mark(err, ErrTruncated)
@@ -315,22 +332,6 @@
 	return d
 }
 
-// maxInterim bounds the interim (1xx) answers to one request. Each costs processor time.
-const maxInterim = 16
-
-// readHeader reads the header of the final answer and skips interim (1xx) ones.
-func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
-	for range maxInterim + 1 {
-		if err := resp.Header.Read(br); err != nil {
-			return err
-		}
-		if s := resp.StatusCode(); s >= 200 || s == fasthttp.StatusSwitchingProtocols {
-			return nil
-		}
-	}
-	return ErrInterim
-}
-
 // acquire returns an idle connection on which nothing has arrived, or a new one.
 func (p *Pool) acquire(ctx context.Context, opts SendOptions) (c *conn, isNew bool, err error) {
 	c, err = p.reserve(time.Now(), opts)
@@ -354,7 +355,7 @@
 	}
 	c = &conn{Conn: nc, bw: bufio.NewWriter(nil), budget: p.Budget}
 	if c.budget == nil {
-		c.budget = defaultBudget
+		c.budget = intake.Default
 	}
 	c.br = bufio.NewReader(c)
 	return c, true, nil
