Let requests wait for full servers in one queue, urgent ones first

Each request polled for room every 15 ms for an eighth of its target, and whichever came by first took a slot that became free. The requests of a pool, or of the owner of a key, now share a queue of the instance: an answer gives its room to the first of it, and flow/room says who waits, who is refused and when they should come again. Refusals and waits are counted by priority as room_requests_total, and the lines of late and failed requests say how long they waited.

--- a/internal/flow/room/order_test.go
+++ b/internal/flow/room/order_test.go
@@ -26,9 +26,11 @@
 }
 
 func request(at time.Time, priority int) room.Request {
-	return room.Request{Route: fmt.Sprint("r", priority), Priority: priority, ReceivedAt: at, Deadline: at.Add(usualTimeout), Target: usualTarget}
+	return room.Request{Route: routes[priority], Priority: priority, ReceivedAt: at, Deadline: at.Add(usualTimeout), Target: usualTarget}
 }
 
+var routes = [...]string{"r0", "r1", "r2"} // by priority
+
 func ExampleRoom() {
 	now := time.Unix(1000, 0)
 	m := newBusy(now)
@@ -157,3 +159,14 @@
 		t.Errorf("the first is %q", first.Value)
 	}
 }
+
+// BenchmarkObserve measures what each answered request costs while there is room.
+func BenchmarkObserve(b *testing.B) {
+	now := time.Unix(1000, 0)
+	m := newBusy(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		m.Observe(now, room.Answer{Request: request(now, 1), Took: 300 * time.Millisecond, OK: true})
+	}
+}
--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -88,6 +88,7 @@
 
 // recordOutcome updates the state of the server, the strikes and the servers tried.
 func (c *Sender) recordOutcome(now time.Time, x *Call, t *target, out limit.Outcome, took time.Duration, r Reply, sent bool, err error) {
+	defer c.recordRoom(now, x, t, out, took)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.state.Finish(now, out, took, x.Route.Target, r.Status >= 500)
--- a/internal/flow/sender/owner.go
+++ b/internal/flow/sender/owner.go
@@ -38,7 +38,7 @@
 			switch tried := usable && x.tried[ownershipID(s, span.Fence)]; {
 			case tried && x.serverFull:
 				// The owner is full, and no other owner is expected.
-				return nil, c.busyRefusal()
+				return nil, c.busyRefusal(now, x)
 			case usable && !tried:
 				return c.ownerTarget(now, x, s, span.Fence)
 			}
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -103,6 +103,8 @@
 	keyLoads   map[PoolKey]int
 	lossChecks *losses.Checker
 	stop       atomic.Pointer[stopTimes] // nil unless the instance stops
+	queues     queues
+	seed       uint64
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
 	sharedLatencies map[string]time.Duration
 	sharedAt        time.Time
@@ -123,6 +125,7 @@
 	c := &Sender{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
 		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int),
+		queues: queues{byKey: make(map[roomKey]*queue)}, seed: seed,
 	}
 	c.lossChecks = losses.New(cfg.Snapshot, c.recordLoss)
 	return c
@@ -152,6 +155,8 @@
 	// SendCount is how often a server may have got the request, WaitTime the time before the first send.
 	SendCount int
 	WaitTime  time.Duration
+	// RoomWait is how long the request has waited because the servers were full.
+	RoomWait time.Duration
 
 	poolName string
 	tried    map[string]bool
@@ -161,6 +166,8 @@
 	loadCounted bool
 	// mayHaveRun tells that a server may have run the request.
 	mayHaveRun bool
+	// waited tells that the latest server was found after a wait for room, due that the request may use room of urgent ones.
+	waited, due bool
 }
 
 const (
--- a/internal/oper/meter/meter.go
+++ b/internal/oper/meter/meter.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// RecordWait records how long a request waited in a dispatcher's queue.
+// RecordWait records how long a request waited in the queue of a dispatcher, or for room at full servers.
 func (s *Series) RecordWait(d time.Duration) { s.wait.RecordDuration(d) }
 
 // RecordBehind records how long a request and its answer waited for earlier ones of the same connection.
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/bramleycove/bramleycove/internal/edge/entry"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
+	"github.com/bramleycove/bramleycove/internal/flow/sender"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 )
@@ -162,12 +164,36 @@
 	if o.Behind >= minBehind {
 		series.RecordBehind(o.Behind)
 	}
+	if o.RoomWait > 0 {
+		series.RecordWait(o.RoomWait)
+	}
+	s.recordRoom(o, reason)
 	if o.Err == nil && o.Route != nil && o.Route.Target > 0 && o.Duration > o.Route.Target {
 		s.log.Info("late", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
-			"target", o.Route.Target, "took", o.Duration, "behind", o.Behind, "waited", o.WaitTime, "sends", o.SendCount)
+			"target", o.Route.Target, "took", o.Duration, "behind", o.Behind, "waited", o.WaitTime, "roomwait", o.RoomWait, "sends", o.SendCount)
 	}
 	if o.Err != nil {
 		s.log.Info("request", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
-			"verdict", verdict, "reason", reason, "wait", o.Err.RetryAfter, "took", o.Duration, "behind", o.Behind, "sends", o.SendCount, "cause", o.Err.Cause)
+			"verdict", verdict, "reason", reason, "wait", o.Err.RetryAfter, "took", o.Duration, "behind", o.Behind, "roomwait", o.RoomWait, "sends", o.SendCount, "cause", o.Err.Cause)
+	}
+}
+
+// recordRoom counts, by priority, the requests that found their servers full: those sent after a wait, and those refused at once or
+// after a wait.
+func (s *Instance) recordRoom(o entry.Outcome, reason string) {
+	if o.Route == nil {
+		return
+	}
+	outcome := ""
+	switch {
+	case reason == sender.ReasonServerBusy && o.RoomWait > 0:
+		outcome = "refused-waiting"
+	case reason == sender.ReasonServerBusy:
+		outcome = "refused"
+	case o.RoomWait > 0:
+		outcome = "waited"
+	default:
+		return
 	}
+	s.meter.Counter("room_requests_total", map[string]string{"priority": strconv.Itoa(o.Route.Priority), "outcome": outcome}).Inc(1)
 }
