Let requests wait on instances that see few answers

The margin now shrinks while refused requests have hardly waited, and grows otherwise. A priority without a refusal had no bound on its waits in vain; it has a small one.

--- a/internal/flow/room/learn.go
+++ b/internal/flow/room/learn.go
@@ -101,8 +101,8 @@
 	// offered counts requests, those that come again not a second time; served those that were sent; awaited the refused whose
 	// callers may come again.
 	offered, served, awaited counter
-	// refused counts refusals, heldSeconds the time that these requests had spent here.
-	refused, heldSeconds counter
+	// held is the time in seconds that refused requests had spent here, mayHold the time that they might have.
+	held, mayHold counter
 	// joined and answered count the requests that began to wait and those answered, each first those that come for the first time,
 	// then those that come again.
 	joined, answered [2]counter
@@ -147,7 +147,11 @@
 	return min(1, c.served.value(now, sharePeriod)/offered)
 }
 
-// meanHeld returns the mean time that refused requests had spent here.
-func (c *class) meanHeld(now time.Time) time.Duration {
-	return seconds(c.heldSeconds.value(now, sharePeriod) / max(1, c.refused.value(now, sharePeriod)))
+// tolerance returns 1 if refused requests have waited as long as they might, more if less, and less if longer.
+func (c *class) tolerance(now time.Time) float64 {
+	mayHold, held := c.mayHold.value(now, sharePeriod)+heldAllowance.Seconds(), c.held.value(now, sharePeriod)
+	if mayHold >= maxTolerance*held {
+		return maxTolerance
+	}
+	return mayHold / held
 }
--- a/internal/flow/room/order_test.go
+++ b/internal/flow/room/order_test.go
@@ -170,3 +170,14 @@
 		m.Observe(now, room.Answer{Request: request(now, 1), Took: 300 * time.Millisecond, OK: true})
 	}
 }
+
+// Guards against a request that waits for room that it may not use: its servers have not answered for long, others do.
+func TestPlaces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newBusy(now)
+	m.Observe(now.Add(-20*time.Second), room.Answer{Request: request(now.Add(-20*time.Second), 1), Place: "b", Took: 300 * time.Millisecond, OK: true})
+	r := request(now, 1)
+	if r.MayUse = func(place string) bool { return place == "b" }; m.Worth(now, r).Wait {
+		t.Error("a request waits for servers that haven't answered for 20 s")
+	}
+}
--- a/internal/flow/room/worth.go
+++ b/internal/flow/room/worth.go
@@ -16,7 +16,7 @@
 	// newPatience, resentPatience and returnedPatience are the part of the time left for an answer within the target that a request
 	// is expected to wait at most: one that comes for the first time, one that was sent before, and one whose caller was refused
 	// before and doesn't come a third time.
-	newPatience, resentPatience, returnedPatience = 0.5, 0.25, 0.7
+	newPatience, resentPatience, returnedPatience = 0.5, 0.1, 0.7
 	// latePatience is the divisor of the time left to the deadline that a request may wait if little is left to the target.
 	latePatience = 16
 	// duePatience is that divisor for a request of a priority that has had too small a share.
@@ -24,18 +24,21 @@
 	// hopelessFactor is by how much the expected wait of a request must exceed the time left before it is refused. Estimates vary, and
 	// those of a request that is close to its turn should not drop it.
 	hopelessFactor = 2
-	// maxHeld is the mean time that refused requests may have waited before fewer wait: a request held long and refused then is worse
-	// for its caller than one refused at once. Without a bound, they had waited a sixth of what polling for room had them wait.
-	maxHeld = 3 * time.Millisecond
+	// maxHeld is the part of a request's target that refused requests may have waited on average before fewer wait, and longestHeld
+	// bounds that time: a request held long and refused then is worse for its caller than one refused at once.
+	maxHeld     = 0.005
+	longestHeld = 3 * time.Millisecond
+	// heldAllowance is what the first refused requests may have waited in total.
+	heldAllowance = 5 * time.Millisecond
+	// maxTolerance bounds the tolerance for waits in vain. The estimated wait is longer than its mean by as many standard deviations as
+	// the tolerance is less. With a fixed margin of one, instances that see five answers in a second let hardly any request wait.
+	maxTolerance = 2
 	// maxWaiting bounds the requests ahead of one that waits. Each holds memory.
 	maxWaiting = 200
 	// firstWait bounds the wait before any answer tells how fast the servers are.
 	firstWait = 150 * time.Millisecond
 	// leastProgress is the part of the room that a request may expect however much the more urgent ones take: they come in waves.
 	leastProgress = 0.03
-	// waitDeviations is the number of standard deviations by which the wait is taken to be longer than its mean, if room frees up at
-	// random.
-	waitDeviations = 1
 	// minRetryAfter is the least time after which a refused caller comes again, so that it is recognised by the time that it has left.
 	minRetryAfter = 100 * time.Millisecond
 	// obeyedPart is the divisor of the remaining time up to which callers obey a Retry-After time.
@@ -80,16 +83,15 @@
 	if w.Sends > 0 {
 		patience -= now.Sub(w.ReceivedAt)
 	}
-	if held := m.class(w.Priority).meanHeld(now); held > maxHeld && !m.isBehind(now, w.Priority) {
-		if !w.returned && !due {
-			return false
-		}
-		patience = time.Duration(float64(patience) * maxHeld.Seconds() / held.Seconds())
+	tolerance := m.class(w.Priority).tolerance(now)
+	if tolerance < 1 && !w.returned && !due && !m.isBehind(now, w.Priority) {
+		return false
 	}
+	patience = time.Duration(float64(patience) * min(1, tolerance))
 	if due {
 		patience = max(patience, toDeadline/duePatience)
 	}
-	return m.expectedWait(now, w, ahead) <= patience
+	return m.expectedWait(now, w, ahead, maxTolerance-tolerance) <= patience
 }
 
 // Hopeless returns the requests that can no longer be answered in their time, or are no longer expected to be sent in it.
@@ -174,10 +176,11 @@
 	return max(0, left)
 }
 
-// expectedWait returns how long a request is likely to wait with a number of others ahead of it.
-func (m *Room[T]) expectedWait(now time.Time, w *Waiter[T], ahead int) time.Duration {
+// expectedWait returns how long a request is likely to wait with a number of others ahead of it, which is a number of standard
+// deviations longer than the mean if room frees up at random.
+func (m *Room[T]) expectedWait(now time.Time, w *Waiter[T], ahead int, deviations float64) time.Duration {
 	n := float64(ahead + 1)
-	return waitFor(n+waitDeviations*math.Sqrt(n), m.progress(now, w, m.rate(now, &w.Request)))
+	return waitFor(n+deviations*math.Sqrt(n), m.progress(now, w, m.rate(now, &w.Request)))
 }
 
 // meanWait returns how long a request waits on average with a number of others ahead of it.
@@ -202,8 +205,12 @@
 	toTarget := m.lastFull(w).Sub(now)
 	w.returned = true
 	c := m.class(r.Priority)
-	c.heldSeconds.add(now, now.Sub(r.ReceivedAt).Seconds(), sharePeriod)
-	c.refused.add(now, 1, sharePeriod)
+	mayHold := longestHeld
+	if r.Target > 0 {
+		mayHold = min(mayHold, time.Duration(maxHeld*float64(r.Target)))
+	}
+	c.held.add(now, now.Sub(r.ReceivedAt).Seconds(), sharePeriod)
+	c.mayHold.add(now, mayHold.Seconds(), sharePeriod)
 	if returned := m.countOffer(now, &r); !returned {
 		c.awaited.add(now, 1, awaitedPeriod)
 	}
