--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -109,6 +109,8 @@
 	windows    map[windowKey]*window.Window
 	lossChecks *losses.Checker
 	stop       atomic.Pointer[stopTimes] // nil unless the instance stops
+	queues     queues
+	seed       uint64
 	// sharedLatencies are the answer times by server that all instances saw, as of sharedAt.
 	sharedLatencies map[string]time.Duration
 	sharedAt        time.Time
@@ -129,6 +131,7 @@
 	c := &Sender{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), servers: make(map[string]*serverState),
 		budgets: make(map[string]*retry.Budget), crashes: crash.New(instance), keyLoads: make(map[PoolKey]int), windows: make(map[windowKey]*window.Window),
+		queues: queues{byKey: make(map[roomKey]*queue)}, seed: seed,
 	}
 	c.lossChecks = losses.New(cfg.Snapshot, c.recordLoss)
 	return c
@@ -158,6 +161,8 @@
 	// SendCount is how often a server may have got the request, WaitTime the time before the first send.
 	SendCount int
 	WaitTime  time.Duration
+	// RoomWait is how long the request has waited because the servers were full.
+	RoomWait time.Duration
 
 	poolName string
 	tried    map[string]bool
@@ -167,6 +172,8 @@
 	loadCounted bool
 	// mayHaveRun tells that a server may have run the request.
 	mayHaveRun bool
+	// waited tells that the latest server was found after a wait for room, due that the request may use room of urgent ones.
+	waited, due bool
 }
 
 const (
