--- a/internal/flow/window/window_test.go
+++ b/internal/flow/window/window_test.go
@@ -87,7 +87,7 @@
 	t.Parallel()
 	const capacity = servers * slots / 0.31 // requests a second
 	for _, c := range []struct {
-		load                    float64 // as a part of the capacity
+		load                   float64 // as a part of the capacity
 		maxRejected, minServed float64 // as parts of what they are without windows
 	}{
 		{0.6, 1, 0.99},
