Decide from evidence whether a server's process has ended

Registrations with an older start time, as a restored store has, and with another pool also counted as an end.

A refused connection proves nothing. New evidence is a later registration of another id at the same address, looked up while orders fail.

If another process takes the address, nothing changes.

TestRestartedServerMayHoldGrant and TestCrashAfterTakeover prove the end by an answer of another id.

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/alive"
 	"github.com/bramleycove/bramleycove/internal/place/shift"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 )
@@ -71,7 +72,7 @@
 	Accepted                   // carried out by the server
 	Fenced                     // the server has seen a higher fence
 	Refused                    // the server answered with another error, such as for a wrong address
-	NotListening               // not sent, and no process listens at the server's address
+	NotListening               // not sent: the connection was refused
 	Ended                      // not carried out: a process with another id answered at the server's address
 )
 
@@ -109,8 +110,6 @@
 	fencesEarlier bool        // the owner accepted a fence of this leader, so it refuses grants of earlier ones
 	inherited     bool        // the owner got the keys from an earlier leader
 	lastFailed    bool        // the last order failed
-	notListening  bool        // the last order to the server that was sent found its address not listening
-	ended         bool        // the last order to the server that was sent found another process at its address
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	session       Session     // on which the owner accepted the fence
 	singledAt     time.Time   // when a move for its load left it with a single key
@@ -276,12 +275,12 @@
 }
 
 // Observe updates the ranges for the present state of the servers, which status returns: usable if the owner may get or
-// keep keys, gone only if its incarnation has certainly ended.
-func (k *Assigner) Observe(now time.Time, status func(spans.Owner) (usable, gone bool)) {
+// keep keys, and the evidence that decides what is known of its process (alive.Decide).
+func (k *Assigner) Observe(now time.Time, status func(spans.Owner) (usable bool, by alive.Evidence)) {
 	for _, p := range k.ranges {
-		usable, gone := true, false
+		usable, by := true, alive.EntryCurrent
 		if p.Server != "" {
-			usable, gone = status(p.Owner)
+			usable, by = status(p.Owner)
 		}
 		if p.target.Server != "" {
 			if ok, _ := status(p.target); !ok {
@@ -293,13 +292,11 @@
 		}
 		switch {
 		case p.state == unowned:
-		case gone && !p.inFlight:
+		case by.Proves() == alive.Ended && !p.inFlight:
 			k.markUnowned(now, p, "")
 			// A restarted server knows no fence and may accept grants that an earlier leader still sends.
 			p.fencesEarlier = false
-			if p.ended || p.fenceUnused && p.notListening {
-				// Grants ended with the process, and the next one at its address takes none that name another id. Or no grant was
-				// accepted since the server stopped listening.
+			if !by.LeavesGrants() {
 				p.lateUntil = now
 			} else if !p.inherited || !p.renewedAt.IsZero() {
 				// The restarted server may have accepted the last grant. Grants of earlier leaders are covered by
@@ -529,9 +526,6 @@
 		if p.Owner != o.Owner || p.state == unowned {
 			continue
 		}
-		if res != NotSent {
-			p.notListening, p.ended = res == NotListening, res == Ended
-		}
 		// The server may have restarted under its id, and a restarted server must not get a fence of the earlier process.
 		if res != Accepted && res != Ended && !p.inFlight && (!p.fenceUnused || res == Fenced) {
 			k.replaceFence(p)
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -9,6 +9,7 @@
 	"github.com/bramleycove/bramleycove/internal/peer/permit"
 	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/place/accept"
+	"github.com/bramleycove/bramleycove/internal/place/alive"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/place/load"
@@ -154,7 +155,7 @@
 func (c *Coordinator) sendDueOrders(now time.Time) {
 	hold := c.grantDuration()
 	for pool, k := range c.leader.keepers {
-		k.Observe(now, func(o spans.Owner) (bool, bool) { return c.ownerStatus(now, pool, o) })
+		k.Observe(now, func(o spans.Owner) (bool, alive.Evidence) { return c.ownerStatus(now, pool, o) })
 		renewals := make(map[spans.Owner][]assign.Order)
 		for _, o := range k.DueOrders(now, hold) {
 			if o.Renewal {
@@ -191,22 +192,36 @@
 	}
 }
 
-// ownerStatus reports whether an owner may get or keep keys, and whether its incarnation has certainly ended. c.mu is held.
-func (c *Coordinator) ownerStatus(now time.Time, pool string, o spans.Owner) (usable, gone bool) {
-	srv := c.builder.Servers[o.Server]
-	if srv == nil || srv.Pool != pool {
-		return false, srv != nil
-	}
-	if srv.Owner != o {
-		return false, true
-	}
-	if c.leader.reach.HasEnded(now, o) {
-		return false, true
+// ownerStatus reports whether an owner may get or keep keys, and the evidence that decides what is known of its process. c.mu is held.
+func (c *Coordinator) ownerStatus(now time.Time, pool string, o spans.Owner) (usable bool, by alive.Evidence) {
+	process, by := c.leader.reach.State(now, o, c.entryEvidence(o))
+	srv := c.builder.Server(o)
+	if process == alive.Ended || srv == nil || srv.Pool != pool {
+		return false, by
 	}
 	// A server with a long queue may leave orders unanswered while it serves. It keeps its keys until its grants end.
 	lost := c.leader.reach.IsLost(now, o, func() []spans.Owner { return c.builder.PoolOwners(pool) }) && !c.leader.gauge.HasRecentAnswers(o.Server)
 	w, _ := c.Snapshot()
-	return !srv.Leaving && !lost && c.accepts.MayOwn(w, srv), false
+	return !srv.Leaving && !lost && c.accepts.MayOwn(w, srv), by
+}
+
+// entryEvidence returns what the registrations show of an owner. Its address is looked up among them only while orders to it fail. c.mu
+// is held.
+func (c *Coordinator) entryEvidence(o spans.Owner) alive.Evidence {
+	if c.leader.reach.IsFailing(o) {
+		srv := c.builder.Server(o)
+		if srv == nil {
+			srv = c.builder.FormerServer(o)
+		}
+		if w, _ := c.Snapshot(); srv != nil && w.AddressTaken(srv) {
+			return alive.AddressTaken
+		}
+	}
+	var registered spans.Owner
+	if srv := c.builder.Servers[o.Server]; srv != nil {
+		registered = srv.Owner
+	}
+	return alive.Entry(o, registered)
 }
 
 // sendOrders sends orders to one server in the background, in sequence until one fails. c.mu is held.
