Send first grants only on connections that no successor can have preceded

An earlier leader that still acted sent a first grant over a new connection, to a process that had restarted under its id since the successor granted the keys to the one before.

A first grant names a session now, as a renewal does: that of a connection which was open when the newest accepted record of the owners began. The claim of a successor is later than that record, so that its grants reached the same process. Order kind Open opens the connection, early for the next owner of keys that move. A connection opened later than the record costs another record.

Open: a restored store that lost the successor's claim accepts a record of the earlier leader.

--- a/internal/oper/site/site.go
+++ b/internal/oper/site/site.go
@@ -60,6 +60,7 @@
 	ReadAnswer        func(h *fasthttp.Response) sender.Reply
 	WriteAnswer       func(h *fasthttp.Response, a *work.Answer, id string)
 	ServerConnOptions conns.Options
+	Open              func(ctx context.Context, addr netip.AddrPort) (assign.Result, assign.Session)
 	Grant             func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal assign.Session) (assign.Result, assign.Session)
 	Release           func(ctx context.Context, addr netip.AddrPort, s spans.Span) (assign.Result, string)
 	Logger            *events.Logger
@@ -93,7 +94,7 @@
 		SameValue: func(topic keyed.Topic, old, value []byte) bool {
 			return topic == keyed.Servers && cfg.IsSameServer(old, value)
 		},
-		Decoder: cfg.Decoder, Grant: cfg.Grant, Release: cfg.Release,
+		Decoder: cfg.Decoder, Open: cfg.Open, Grant: cfg.Grant, Release: cfg.Release,
 		FillReport: s.fillReport, RecentStrikes: s.recentStrikes, LearnStrikes: s.learnStrikes, LearnLatencies: s.learnLatencies, Limits: s.limits, Events: cfg.Logger,
 	})
 	s.permits = &permit.Asker{
--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -44,13 +44,15 @@
 const (
 	Grant Kind = iota
 	Release
+	// Open opens the connection for grants to the owner, unless it is open.
+	Open
 )
 
 // Session identifies the connection on which a server accepted a grant, among those of this leader to the same address. It ends
 // with the server's process at the latest. 0 is none.
 type Session uint64
 
-// Order is a grant or release of a range of keys, to be sent to its owner.
+// Order is a grant or release of a range of keys, to be sent to its owner, or opens the connection to an owner.
 type Order struct {
 	Kind
 	spans.Span
@@ -58,7 +60,7 @@
 	// Renewal is true if a grant with this fence may have been accepted before. Renewals to one server must be sent one by
 	// one, stopping at the first failure: a restarted server must not get a fence that its earlier process had.
 	Renewal bool
-	// Session is where a renewal must be sent. For Finish it is where the order was sent.
+	// Session is where a grant must be sent. For Finish it is where the order was sent, or the connection that is open.
 	Session Session
 }
 
@@ -77,7 +79,7 @@
 )
 
 // String returns the form used in logs.
-func (k Kind) String() string { return [...]string{"grant", "release"}[k] }
+func (k Kind) String() string { return [...]string{"grant", "release", "open"}[k] }
 
 // String returns the form used in logs.
 func (r Result) String() string {
@@ -143,6 +145,7 @@
 	ranges    []*keyRange
 	lastFence *uint64
 	dirty     bool
+	lines     lines
 }
 
 // New returns an assigner that takes over the assignment m. Grants of earlier leaders may be valid until inherited. All
@@ -224,14 +227,16 @@
 	return m, k.dirty
 }
 
-// BeginRecord notes that the current assignment is being recorded. Call ConfirmRecord or FailRecord with the outcome.
-func (k *Assigner) BeginRecord() { k.dirty = false }
+// BeginRecord notes that the current assignment is being recorded from now on. Call ConfirmRecord or FailRecord with the outcome
+// before the next call.
+func (k *Assigner) BeginRecord(now time.Time) { k.dirty, k.lines.recordBegun = false, now }
 
 // FailRecord notes that the record may not be in the store.
 func (k *Assigner) FailRecord() { k.dirty = true }
 
 // ConfirmRecord notes that the store has the assignment up to this fence, so that spans up to it may be granted.
 func (k *Assigner) ConfirmRecord(fence uint64) {
+	k.lines.soleAt = k.lines.recordBegun
 	for _, p := range k.ranges {
 		if p.Fence <= fence {
 			p.unrecorded = false
@@ -446,6 +451,7 @@
 // DueOrders returns the orders to send now. Grants last for duration. Each order must be followed by Finish.
 func (k *Assigner) DueOrders(now time.Time, duration time.Duration) (out []Order) {
 	k.assignUnowned(now)
+	out = k.dueOpens(now)
 	renewing, inFlight, nonRenewals := make(map[spans.Owner]bool), make(map[spans.Owner]int), 0
 	for _, p := range k.ranges {
 		if !p.inFlight {
@@ -476,15 +482,15 @@
 			out = append(out, Order{Kind: Release, Span: p.Span})
 		case p.reassigned && p.fenceUnused && k.WitnessedPush <= p.movingAfter: // no majority knows of the move yet
 		case (p.state == owned || p.state == announced) && !p.unrecorded && now.Sub(p.renewedAt) >= renewInterval && (p.fenceUnused || !renewing[p.Owner]):
-			p.inFlight = true
+			o := Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal, Session: p.session}
 			if !renewal {
+				if o.Session = k.lines.usable(p.Owner); o.Session == 0 {
+					continue
+				}
 				inFlight[p.Owner]++
 				nonRenewals++
 			}
-			o := Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal}
-			if renewal {
-				o.Session = p.session
-			}
+			p.inFlight = true
 			out = append(out, o)
 		}
 	}
@@ -509,6 +515,13 @@
 // Finish takes the result of an order that was sent at start and ended at now. The duration of a grant counts from now,
 // since the grant may have reached the server that late.
 func (k *Assigner) Finish(start, now time.Time, o Order, res Result, handover string) {
+	if o.Kind == Open {
+		k.finishOpen(now, o, res)
+		return
+	}
+	if o.Kind == Grant && res != Accepted && res != Fenced {
+		k.lines.reopen(o.Owner)
+	}
 	for _, p := range k.ranges {
 		// Also finds the parts of a range that was split while the order was in flight.
 		if p.First < o.First || p.Last > o.Last || p.Owner != o.Owner || p.Fence != o.Fence {
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -163,7 +163,7 @@
 		delete(w.conns, l) // reset on their way as well
 		open = false
 	}
-	if o.Renewal && (!open || c.session != o.Session) {
+	if o.Kind == assign.Grant && (!open || c.session != o.Session) {
 		finish(start, assign.NotSent, "")
 		return
 	}
@@ -179,6 +179,15 @@
 		case s.dead || s.unreachable || down:
 			w.after(700*time.Millisecond, func() { finish(start, assign.NoAnswer, "") })
 			return
+		case o.Kind == assign.Open:
+			if !open {
+				w.opened++
+				c = conn{w.opened, s.StartMs}
+				w.conns[l] = c
+			}
+			o.Session = c.session
+			w.after(delay, func() { finish(start, assign.Accepted, "") })
+			return
 		case s.Server != o.Server:
 			// It refuses orders for another id, also those whose answer is late or lost.
 			if fate < 10 || fate > 95 {
@@ -198,11 +207,6 @@
 			w.after(700*time.Millisecond, func() { finish(start, assign.NoAnswer, "") })
 			return
 		}
-		if !open && o.Kind == assign.Grant {
-			w.opened++
-			c = conn{w.opened, s.StartMs}
-			w.conns[l] = c
-		}
 		o.Session = c.session
 		res := assign.Accepted
 		if o.Kind == assign.Grant {
@@ -235,7 +239,7 @@
 		return
 	}
 	fence := w.fence
-	k.BeginRecord()
+	k.BeginRecord(w.clock())
 	w.after(time.Duration(5+w.rng.IntN(50))*time.Millisecond, func() {
 		if w.assigner != k {
 			return
@@ -417,17 +421,34 @@
 
 func (c *steadyPool) run(d time.Duration, answer func(assign.Order) assign.Result) {
 	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(50 * time.Millisecond) {
-		if _, changed := c.Map(); changed {
-			c.BeginRecord()
-			c.ConfirmRecord(c.fence)
-		}
-		for _, o := range c.DueOrders(c.now, assign.GrantDuration) {
+		for _, o := range due(c.Assigner, c.now, &c.fence) {
 			c.orders = append(c.orders, o)
 			c.Finish(c.now, c.now, o, answer(o), "h")
 		}
 	}
 }
 
+// due records the owners if they have changed, opens the connections that grants need and returns the other orders.
+func due(k *assign.Assigner, now time.Time, fence *uint64) (out []assign.Order) {
+	record := func(at time.Time) {
+		k.BeginRecord(at)
+		k.ConfirmRecord(*fence)
+	}
+	if _, changed := k.Map(); changed {
+		record(now)
+	}
+	for _, o := range k.DueOrders(now, assign.GrantDuration) {
+		if o.Kind != assign.Open {
+			out = append(out, o)
+			continue
+		}
+		o.Session = 1
+		k.Finish(now, now, o, assign.Accepted, "")
+		record(now.Add(time.Microsecond))
+	}
+	return out
+}
+
 func accept(assign.Order) assign.Result { return assign.Accepted }
 
 // endedUnless returns the status of servers of which all but one have ended, by the given evidence.
@@ -477,10 +498,14 @@
 	c := &steadyPool{now: epoch}
 	c.Assigner = assign.New(nil, &c.fence, c.now, c.now)
 	c.Plan(c.now, []shift.Server{{Owner: owner("a"), Capacity: 10, AcceptsKeys: true}}, new(shift.Loads), true)
-	if got := c.DueOrders(c.now, assign.GrantDuration); len(got) != 0 {
-		t.Errorf("orders before the assignment was recorded: %+v", got)
+	for _, o := range c.DueOrders(c.now, assign.GrantDuration) {
+		if o.Kind != assign.Open {
+			t.Errorf("order before the assignment was recorded: %+v", o)
+		}
+		o.Session = 1
+		c.Finish(c.now, c.now, o, assign.Accepted, "")
 	}
-	c.BeginRecord()
+	c.BeginRecord(c.now.Add(time.Millisecond))
 	c.ConfirmRecord(c.fence)
 	if got := c.DueOrders(c.now, assign.GrantDuration); len(got) != 1 || got[0].Kind != assign.Grant {
 		t.Errorf("orders after the assignment was recorded: %+v, want one grant", got)
@@ -521,12 +546,8 @@
 	for ; at.Before(epoch.Add(20 * time.Second)); at = at.Add(50 * time.Millisecond) {
 		k.Observe(at, gone)
 		k.Plan(at, []shift.Server{{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}}, new(shift.Loads), true)
-		if _, changed := k.Map(); changed {
-			k.BeginRecord()
-			k.ConfirmRecord(fence)
-		}
 		granted := false
-		for _, o := range k.DueOrders(at, assign.GrantDuration) {
+		for _, o := range due(k, at, &fence) {
 			granted = granted || o.Server == "b"
 			if o.Server == "a" {
 				k.Finish(at, at, o, assign.NotSent, "")
@@ -667,11 +688,10 @@
 		m = append(m, spans.Span{First: uint16(i * 5000), Last: uint16(i*5000 + 4999), Owner: owner("a"), Fence: uint64(i + 1)})
 	}
 	k := assign.New(m, &fence, epoch, epoch)
-	k.BeginRecord()
-	k.ConfirmRecord(fence)
+	due(k, epoch, &fence)
 	var under []assign.Order
-	for at := epoch; at.Before(epoch.Add(time.Second)); at = at.Add(50 * time.Millisecond) {
-		under = append(under, k.DueOrders(at, assign.GrantDuration)...)
+	for at := epoch.Add(50 * time.Millisecond); at.Before(epoch.Add(time.Second)); at = at.Add(50 * time.Millisecond) {
+		under = append(under, due(k, at, &fence)...)
 		if len(under) > 4 {
 			t.Fatalf("%d orders to one server at once", len(under))
 		}
@@ -725,8 +745,8 @@
 	fence := uint64(0)
 	inherited := epoch.Add(5 * time.Second)
 	k := assign.New(spans.Map{{First: 0, Last: 65535, Owner: owner("a")}}, &fence, epoch, inherited)
-	k.ConfirmRecord(fence)
-	o := k.DueOrders(epoch, assign.GrantDuration)[0]
+	due(k, epoch, &fence)
+	o := due(k, epoch, &fence)[0]
 	k.Finish(epoch, epoch, o, assign.Accepted, "")
 	servers := []shift.Server{{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}}
 	refused := 0
@@ -737,11 +757,7 @@
 		}
 		k.Observe(now, status)
 		k.Plan(now, servers, new(shift.Loads), false)
-		if _, changed := k.Map(); changed {
-			k.BeginRecord()
-			k.ConfirmRecord(fence)
-		}
-		for _, o := range k.DueOrders(now, assign.GrantDuration) {
+		for _, o := range due(k, now, &fence) {
 			if o.Server == "b" {
 				if now.Before(inherited) {
 					t.Errorf("keys given to another server %v before the earlier leader's grants end", inherited.Sub(now))
@@ -765,11 +781,11 @@
 		m = append(m, spans.Span{First: uint16(i), Last: uint16(i), Owner: spans.Owner{Server: fmt.Sprint("s", i)}})
 	}
 	k := assign.New(m, &fence, epoch, epoch)
-	k.ConfirmRecord(fence)
+	due(k, epoch, &fence)
 	sent := 0
 	for round := range 4 {
 		now := epoch.Add(time.Duration(round) * 50 * time.Millisecond)
-		orders := k.DueOrders(now, assign.GrantDuration)
+		orders := due(k, now, &fence)
 		if len(orders) > 150 {
 			t.Errorf("%d first grants at once", len(orders))
 		}
@@ -840,11 +856,7 @@
 		}
 		k.Observe(at, func(o spans.Owner) (bool, alive.Evidence) { return o.Server == "b", alive.EntryGone })
 		k.Plan(at, []shift.Server{{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}}, new(shift.Loads), true)
-		if _, changed := k.Map(); changed {
-			k.BeginRecord()
-			k.ConfirmRecord(fence)
-		}
-		for _, o := range k.DueOrders(at, assign.GrantDuration) {
+		for _, o := range due(k, at, &fence) {
 			res := assign.NotSent
 			if o.Server == "b" {
 				res = assign.Accepted
--- a/internal/place/assign/reach.go
+++ b/internal/place/assign/reach.go
@@ -28,6 +28,9 @@
 
 // Observe takes the result of an order that was sent at start.
 func (r *Reachability) Observe(o Order, res Result, start time.Time) {
+	if o.Kind == Open && res == Accepted {
+		return // the kernel of a suspended process accepts connections as well
+	}
 	if r.failingSince == nil {
 		r.failingSince = make(map[spans.Owner]time.Time)
 	}
@@ -37,7 +40,7 @@
 	switch _, failing := r.failingSince[o.Owner]; {
 	case res == Accepted || res == Fenced:
 		delete(r.failingSince, o.Owner)
-	case o.Kind == Grant && !failing:
+	case o.Kind != Release && !failing:
 		r.failingSince[o.Owner] = start
 	}
 }
--- a/internal/place/coord/coord.go
+++ b/internal/place/coord/coord.go
@@ -48,8 +48,10 @@
 	Log       keyed.Log
 	SameValue func(topic keyed.Topic, old, value []byte) bool
 	build.Decoder
-	// Grant sends a first grant in any session, a renewal only in the given one. It returns the session of the answer.
-	Grant   func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, renewal assign.Session) (assign.Result, assign.Session)
+	// Open opens the connection for grants to a server, unless it is open, and returns its session.
+	Open func(ctx context.Context, addr netip.AddrPort) (assign.Result, assign.Session)
+	// Grant sends a grant in the given session only. It returns the session of the answer.
+	Grant   func(ctx context.Context, addr netip.AddrPort, s spans.Span, hold time.Duration, only assign.Session) (assign.Result, assign.Session)
 	Release func(ctx context.Context, addr netip.AddrPort, s spans.Span) (assign.Result, string)
 	// FillReport adds what this instance has seen since the last call to an answer for the leader.
 	FillReport func(now time.Time, r *sitepb.PushReply)
--- a/internal/place/coord/lead.go
+++ b/internal/place/coord/lead.go
@@ -236,7 +236,7 @@
 			return
 		}
 		for _, k := range c.leader.keepers {
-			k.BeginRecord()
+			k.BeginRecord(now)
 		}
 	}
 	c.leadership.MinTerm = firstNumber(end)
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -282,6 +282,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
+	if o.Kind == assign.Open {
+		res, s = c.cfg.Open(ctx, srv.Address)
+		return res, "", s
+	}
 	res, s = c.cfg.Grant(ctx, srv.Address, o.Span, o.Duration, o.Session)
 	return res, "", s
 }
--- a/internal/plat/conns/line.go
+++ b/internal/plat/conns/line.go
@@ -35,6 +35,23 @@
 	return l.pool.opened(), sent, err
 }
 
+// Open opens the connection, unless it is open, and returns its number.
+func (l *Line) Open(ctx context.Context) (n uint64, err error) {
+	select {
+	case l.busy <- struct{}{}:
+		defer func() { <-l.busy }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	c, _, err := l.pool.acquire(ctx, SendOptions{MaxIdle: l.pool.idleTimeout()})
+	if err != nil {
+		return 0, err
+	}
+	c.maxIdle = l.pool.idleTimeout()
+	l.pool.release(c, true)
+	return l.pool.opened(), nil
+}
+
 // opened returns how many connections have been opened so far, attempts included.
 func (p *Pool) opened() uint64 {
 	p.mu.Lock()
