Limit earlier leaders' grants also for keys whose release failed

Only a grant of the new leader without an answer may last longer than the earlier leader's, and its end is known. The bound counts for all inherited ranges now, and no less than the end of such a grant.

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -211,8 +211,9 @@
 		if p.earlierUntil.After(until) {
 			p.earlierUntil = until
 		}
-		if p.renewedAt.IsZero() && !p.lastFailed && p.heldUntil.After(until) {
-			p.heldUntil = until
+		// A grant of this leader without an answer may last longer. Other failed orders change nothing.
+		if p.renewedAt.IsZero() && p.heldUntil.After(until) {
+			p.heldUntil = later(until, p.lateUntil)
 		}
 	}
 }
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -872,3 +872,32 @@
 		}
 	}
 }
+
+// Guards against keys that another server gets while their owner may hold them by a grant of the new leader: the time at which the
+// earlier leader's grants had ended counted, and the grant had got no answer.
+func TestLimitInheritedAfterUnansweredGrant(t *testing.T) {
+	fence := uint64(5)
+	k := assign.New(spans.Map{{First: 0, Last: spans.Last, Owner: owner("a"), Fence: 5}}, &fence, epoch, epoch.Add(18*time.Second))
+	var sent time.Time // the last grant to a
+	for at := epoch; at.Before(epoch.Add(20 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		lost := at.After(epoch.Add(2 * time.Second))
+		if lost {
+			k.LimitInherited(epoch.Add(2 * time.Second))
+		}
+		k.Observe(at, func(o spans.Owner) (bool, alive.Evidence) { return !lost || o.Server == "b", alive.EntryCurrent })
+		k.Plan(at, []shift.Server{{Owner: owner("a"), Capacity: 10, AcceptsKeys: !lost}, {Owner: owner("b"), Capacity: 10, AcceptsKeys: lost}}, new(shift.Loads), false)
+		for _, o := range due(k, at, &fence) {
+			if o.Server == "b" {
+				if wait := at.Sub(sent); sent.IsZero() || wait < assign.GrantDuration {
+					t.Errorf("the keys went to the next server %v after a grant without an answer", wait)
+				}
+				return
+			}
+			if o.Kind == assign.Grant {
+				sent = at
+			}
+			k.Finish(at, at, o, assign.NoAnswer, "")
+		}
+	}
+	t.Error("the keys did not go to the next server")
+}
