Tell copies of release answers apart by their handover tokens

A second copy of the answer to a release, late, on a connection that was in use again counted as the answer to the next release, so that keys went on while their owner still worked on them. TestReleaseAnswerRepeated failed always: "release 1: done after 75.224µs, and the server works on the keys for 200ms". The copy comes when the next request is read, so that silence before it shows nothing, and answers name no order.

An answer whose handover token the connection has had before proves nothing now: the release, which may be repeated, goes out again on a new connection. After an answer without a token the connection is closed; a server that gives none sees a connection for each release, and one that is full may reset it, after which the release is repeated as before. Not covered: a copy with a token of its own.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -35,6 +35,8 @@
 	ErrMismatch = errors.New("answer of another request")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
+	// ErrRepeated means that an answer may be another copy of an earlier one on its connection.
+	ErrRepeated = errors.New("copy of an earlier answer")
 	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
 	ErrInterim = errors.New("too many interim answers")
 	// ErrNotOpen means that no open connection is idle, and the request must not go out on a new one.
@@ -79,6 +81,10 @@
 	IdleTimeout time.Duration
 	// IgnoreKeepAlive is for calls that come so regularly that connections are never idle for long.
 	IgnoreKeepAlive bool
+	// TokenHeader, unless empty, is the name of a header by which answers differ. It is for servers that echo no id and may send copies of
+	// earlier answers on a connection. An answer with a token that the connection had before is no answer: the request, which must be
+	// repeatable, is sent again on a new connection. After an answer without a token, the connection is not used again.
+	TokenHeader string
 	// Budget bounds the large answers that are being read; nil means one that is shared by all such pools.
 	Budget *Budget
 }
@@ -119,6 +125,7 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	budget    *Budget
+	tokens    map[string]bool // of the answers so far
 	// received counts the bytes of the answer in progress, budgeted those of them that were taken from budget.
 	received, budgeted int64
 }
@@ -163,6 +170,8 @@
 	// OnlyOpen restricts the request to a connection that is open already. The process at its other end is the one that answered
 	// on it before, whereas a new connection may reach a restarted server.
 	OnlyOpen bool
+	// onlyNew restricts the request to a new connection.
+	onlyNew bool
 }
 
 // DoWith is like Do with the given options.
@@ -176,6 +185,13 @@
 		sent = c.sent // once released, the connection may serve another request
 		c.maxIdle = p.idleLimit(resp)
 		p.release(c, reuse && !resp.ConnectionClose() && !req.ConnectionClose())
+		if errors.Is(err, ErrRepeated) && !opts.onlyNew {
+			opts.onlyNew = true
+			if earlier, err := p.DoWith(ctx, req, resp, opts); err != nil {
+				return sent || earlier, err
+			}
+			return true, nil
+		}
 		// An idle connection may have been closed by the server between the check and the write. As no byte was
 		// accepted, the request certainly did not run and goes out on another connection.
 		if err == nil || sent || isNew || ctx.Err() != nil || errors.Is(err, ErrExpired) {
@@ -192,6 +208,13 @@
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
 	reuse, err = p.sendAndReceive(ctx, c, req, resp)
+	if err == nil && p.TokenHeader != "" {
+		var isNew bool
+		isNew, reuse = c.noteToken(string(resp.Header.Peek(p.TokenHeader)), reuse)
+		if !isNew {
+			err = ErrRepeated
+		}
+	}
 	// Once ctx has ended, its function may set the deadline at any moment, which would break the next request.
 	c.abandoned = !stop()
 	if c.abandoned && errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -233,6 +256,22 @@
 	return reuse, err
 }
 
+// maxTokens bounds the tokens that a connection keeps.
+const maxTokens = 100
+
+// noteToken keeps the token of an answer. isNew reports whether the connection did not have it before, reuse whether a copy of the answer
+// could be told apart from answers to further requests.
+func (c *conn) noteToken(token string, reusable bool) (isNew, reuse bool) {
+	if c.tokens[token] {
+		return false, false
+	}
+	if c.tokens == nil {
+		c.tokens = make(map[string]bool)
+	}
+	c.tokens[token] = true
+	return true, reusable && token != "" && len(c.tokens) < maxTokens
+}
+
 // lengthUntilClose is fasthttp's length of an answer that ends with its connection.
 const lengthUntilClose = -2
 
@@ -366,7 +405,7 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	for len(p.idleConns) > 0 {
+	for len(p.idleConns) > 0 && !opts.onlyNew {
 		c := p.idleConns[len(p.idleConns)-1]
 		p.idleConns = p.idleConns[:len(p.idleConns)-1]
 		if idle := now.Sub(c.idleSince); idle < min(c.maxIdle, opts.MaxIdle) && c.br.Buffered() == 0 && work.IsReusable(c.Conn) {
