Close the connection for grants after an answer 421

A second copy of the answer 421 to an order for a process that is gone counted as the answer to the next grant on the connection, so that the live process at the address counted as ended, and its keys would have been freed at once. TestMisdirectedAnswerRepeated failed with "grant to live: ended, want done"; it passed 20 of 20 runs with the race detector. A copy of an accepted grant's answer still counts as the answer to the next grant; the real answer is then left over, which ends the connection.

--- a/internal/plat/conns/line.go
+++ b/internal/plat/conns/line.go
@@ -32,6 +32,10 @@
 		return 0, false, ErrNotOpen
 	}
 	sent, err = l.pool.DoWith(ctx, req, resp, SendOptions{MaxIdle: l.pool.idleTimeout(), OnlyOpen: only != 0})
+	if err == nil && resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		// A copy of the answer would count against the next request, which may be for the process at the other end.
+		l.pool.closeIdle()
+	}
 	return l.pool.opened(), sent, err
 }
 
