--- a/internal/place/build/build.go
+++ b/internal/place/build/build.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/oper/events"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
+	"github.com/bramleycove/bramleycove/internal/place/alive"
 	"github.com/bramleycove/bramleycove/internal/place/chunks"
 	"github.com/bramleycove/bramleycove/internal/place/elect"
 	"github.com/bramleycove/bramleycove/internal/place/evac"
@@ -184,6 +185,27 @@
 // FormerServer returns the removed registration of an owner, nil if it is not known.
 func (b *Builder) FormerServer(o spans.Owner) *topo.Server { return b.former[o] }
 
+// Evidence returns what the registrations show of an owner's process. Its address is looked up among them only if search is true, as
+// this takes long.
+func (b *Builder) Evidence(o spans.Owner, search bool) alive.Evidence {
+	srv := b.Server(o)
+	if srv == nil {
+		srv = b.former[o]
+	}
+	if search && srv != nil {
+		for _, x := range b.Servers {
+			if x.Server != o.Server && x.Address == srv.Address && x.StartMs > o.StartMs {
+				return alive.AddressTaken
+			}
+		}
+	}
+	var registered spans.Owner
+	if x := b.Servers[o.Server]; x != nil {
+		registered = x.Owner
+	}
+	return alive.Entry(o, registered)
+}
+
 // PoolServers returns the registered servers of a pool.
 func (b *Builder) PoolServers(pool string) (out []*topo.Server) {
 	for _, s := range b.Servers {
--- a/internal/place/coord/round.go
+++ b/internal/place/coord/round.go
@@ -194,7 +194,7 @@
 
 // ownerStatus reports whether an owner may get or keep keys, and the evidence that decides what is known of its process. c.mu is held.
 func (c *Coordinator) ownerStatus(now time.Time, pool string, o spans.Owner) (usable bool, by alive.Evidence) {
-	process, by := c.leader.reach.State(now, o, c.entryEvidence(o))
+	process, by := c.leader.reach.State(now, o, c.builder.Evidence(o, c.leader.reach.IsFailing(o)))
 	srv := c.builder.Server(o)
 	if process == alive.Ended || srv == nil || srv.Pool != pool {
 		return false, by
@@ -205,25 +205,6 @@
 	return !srv.Leaving && !lost && c.accepts.MayOwn(w, srv), by
 }
 
-// entryEvidence returns what the registrations show of an owner. Its address is looked up among them only while orders to it fail. c.mu
-// is held.
-func (c *Coordinator) entryEvidence(o spans.Owner) alive.Evidence {
-	if c.leader.reach.IsFailing(o) {
-		srv := c.builder.Server(o)
-		if srv == nil {
-			srv = c.builder.FormerServer(o)
-		}
-		if w, _ := c.Snapshot(); srv != nil && w.AddressTaken(srv) {
-			return alive.AddressTaken
-		}
-	}
-	var registered spans.Owner
-	if srv := c.builder.Servers[o.Server]; srv != nil {
-		registered = srv.Owner
-	}
-	return alive.Entry(o, registered)
-}
-
 // sendOrders sends orders to one server in the background, in sequence until one fails. c.mu is held.
 func (c *Coordinator) sendOrders(pool string, k *assign.Assigner, orders []assign.Order) {
 	srv := c.builder.Server(orders[0].Owner)
@@ -274,20 +255,21 @@
 }
 
 func (c *Coordinator) callServer(srv *topo.Server, o assign.Order) (res assign.Result, handover string, s assign.Session) {
+	timeout := grantTimeout
 	if o.Kind == assign.Release {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		res, handover = c.cfg.Release(ctx, srv.Address, o.Span)
-		return res, handover, 0
+		timeout = releaseTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if o.Kind == assign.Open {
+	switch o.Kind {
+	case assign.Release:
+		res, handover = c.cfg.Release(ctx, srv.Address, o.Span)
+	case assign.Open:
 		res, s = c.cfg.Open(ctx, srv.Address)
-		return res, "", s
+	default:
+		res, s = c.cfg.Grant(ctx, srv.Address, o.Span, o.Duration, o.Session)
 	}
-	res, s = c.cfg.Grant(ctx, srv.Address, o.Span, o.Duration, o.Session)
-	return res, "", s
+	return res, handover, s
 }
 
 // announceMoves updates which keys are being moved and tells the members if that has changed. c.mu is held.
--- a/internal/place/topo/snapshot.go
+++ b/internal/place/topo/snapshot.go
@@ -78,16 +78,6 @@
 	return false
 }
 
-// AddressTaken reports whether a process with another id that began after that of srv is registered at its address.
-func (s *Snapshot) AddressTaken(srv *Server) bool {
-	for _, x := range s.Servers {
-		if x.Server != srv.Server && x.Address == srv.Address && x.StartMs > srv.StartMs {
-			return true
-		}
-	}
-	return false
-}
-
 // MovingRange is a range of keys that changes owner. Until is when they are expected to be served again.
 type MovingRange struct {
 	First, Last uint16
