Give a restarted server's keys back to its new process at once

Keys of a server that is registered again under its id waited for its last grant, since the new process may have accepted it: TestRestartedServerGetsKeysBack failed with "granted after 3.3s". Nobody but that process can hold them, so that it gets them without a wait, if it accepts keys, in less than 0.3 s after its registration is known. Other servers still wait. Until it accepts the new fence, the end of earlier grants is kept.

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -115,13 +115,22 @@
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	session       Session     // on which the owner accepted the fence
 	singledAt     time.Time   // when a move for its load left it with a single key
+	restarted     bool        // a newer process under the owner's id may hold the keys, and nobody else
 	distrusted    bool        // the owner may not be the latest one
 	reassigned    bool        // this leader chose the owner
 	movingAfter   uint64      // number of the newest push when the range began to move
 }
 
-// freeAt returns the time from which no earlier grant of an unowned range can take effect.
+// freeAt returns the time from which no earlier grant of an unowned range can take effect at another server than the next owner.
 func (p *keyRange) freeAt() time.Time {
+	if p.restarted && p.target.Server == p.Server && p.target.StartMs > p.StartMs {
+		return time.Time{}
+	}
+	return p.overAt()
+}
+
+// overAt returns the time from which no earlier grant of an unowned range can take effect.
+func (p *keyRange) overAt() time.Time {
 	if p.fencesEarlier {
 		return p.lateUntil
 	}
@@ -205,14 +214,11 @@
 // LimitInherited lowers the time until which grants of earlier leaders may be valid to until.
 func (k *Assigner) LimitInherited(until time.Time) {
 	for _, p := range k.ranges {
-		if !p.inherited {
-			continue
-		}
 		if p.earlierUntil.After(until) {
 			p.earlierUntil = until
 		}
 		// A grant of this leader without an answer may last longer. Other failed orders change nothing.
-		if p.renewedAt.IsZero() && p.heldUntil.After(until) {
+		if p.inherited && p.renewedAt.IsZero() && p.heldUntil.After(until) {
 			p.heldUntil = later(until, p.lateUntil)
 		}
 	}
@@ -302,7 +308,8 @@
 			k.markUnowned(now, p, "")
 			// A restarted server knows no fence and may accept grants that an earlier leader still sends.
 			p.fencesEarlier = false
-			if !by.LeavesGrants() {
+			p.restarted = by.LeavesGrants()
+			if !p.restarted {
 				p.lateUntil = now
 			} else if !p.inherited || !p.renewedAt.IsZero() {
 				// The restarted server may have accepted the last grant. Grants of earlier leaders are covered by
@@ -341,6 +348,15 @@
 		accepts[s.Owner] = s.AcceptsKeys
 	}
 	frozen := func(s spans.Span) bool { return k.isFrozen(s) || accepts[s.Owner] && k.stays(now, s) }
+	for _, p := range k.ranges {
+		if p.state != unowned || !p.restarted || p.target.Server != "" || !now.Before(p.overAt()) {
+			continue
+		}
+		// Any other server would have to wait.
+		if i := slices.IndexFunc(servers, func(s shift.Server) bool { return s.AcceptsKeys && s.Server == p.Server && s.StartMs > p.StartMs }); i >= 0 {
+			p.target = servers[i].Owner
+		}
+	}
 	moves := shift.Plan(k.plannedMap(), servers, loads, level && !k.PauseMoves, frozen)
 	for _, mv := range moves {
 		k.startMove(now, mv)
@@ -506,9 +522,14 @@
 		}
 		*k.lastFence++
 		p.Span = spans.Span{First: p.First, Last: p.Last, Owner: p.target, Fence: *k.lastFence, Handover: p.Handover}
+		before := *p
 		*p = keyRange{
 			Span: p.Span, unrecorded: true, fenceUnused: true, stateSince: now, singledAt: p.singledAt, reassigned: true, movingAfter: p.movingAfter,
 		}
+		if before.restarted {
+			// Until the new process accepts the new fence, it may hold the keys by earlier grants.
+			p.heldUntil, p.lateUntil, p.earlierUntil = before.lateUntil, before.lateUntil, before.earlierUntil
+		}
 		k.dirty = true
 	}
 }
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -611,6 +611,30 @@
 	}
 }
 
+// Guards against keys that wait for the last grant of a server that has restarted under its id: nobody but its new process can hold
+// them, so that this gets them back at once. If it accepts no keys, they wait.
+func TestRestartedServerGetsKeysBack(t *testing.T) {
+	for _, accepts := range []bool{true, false} {
+		c := &steadyPool{now: epoch}
+		c.Assigner = assign.New(nil, &c.fence, c.now, c.now)
+		next := spans.Owner{Server: "a", StartMs: 2}
+		a, b := shift.Server{Owner: owner("a"), Capacity: 10, AcceptsKeys: true}, shift.Server{Owner: owner("b"), Capacity: 99, AcceptsKeys: true}
+		c.Plan(c.now, []shift.Server{a}, new(shift.Loads), true)
+		c.run(time.Second, accept)
+		since := c.now
+		c.orders = nil
+		for len(c.orders) == 0 && c.now.Sub(since) < 10*time.Second {
+			c.Observe(c.now, func(o spans.Owner) (bool, alive.Evidence) { return o != a.Owner, alive.Entry(o, next) })
+			c.Plan(c.now, []shift.Server{{Owner: next, Capacity: 10, AcceptsKeys: accepts}, b}, new(shift.Loads), true)
+			c.run(50*time.Millisecond, accept)
+		}
+		wait := c.now.Sub(since)
+		if atOnce := wait < 300*time.Millisecond; atOnce != accepts || !accepts && wait < 2400*time.Millisecond || atOnce && c.orders[0].Owner != next {
+			t.Errorf("new process accepts keys %v: granted after %v by %+v", accepts, wait, c.orders)
+		}
+	}
+}
+
 // Guards against keys that stay unserved for the longest time that an earlier leader could have acted, though it is known
 // when it stopped. It happened to keys whose server was found to have restarted before that time was known.
 func TestLimitInheritedAfterRestart(t *testing.T) {
