--- a/test/platf/platf_test.go
+++ b/test/platf/platf_test.go
@@ -219,6 +219,26 @@
 	d.share(since, "/read/", 0.97)
 }
 
+// Guards against a second owner beside a live server: cuts of a second reset its connections and refuse new ones, so that it keeps its
+// grants while the leader can't reach it (review/1).
+func TestServersRefuseForASecond(t *testing.T) {
+	t.Parallel()
+	d := up(t, 3, 4)
+	d.run(6)
+	for _, s := range d.Live("stock") {
+		front := d.Front(s.ID)
+		_ = front.SetRefusing(true)
+		front.ResetAll()
+		time.Sleep(time.Second)
+		_ = front.SetRefusing(false)
+		time.Sleep(2 * time.Second)
+	}
+	since := time.Now()
+	time.Sleep(3 * time.Second)
+	d.finish()
+	d.share(since, "/read/", 0.97)
+}
+
 // Guards against keys that are unserved while the store is away for 6 s, and against live servers that are taken for gone
 // when it is back.
 func TestStoreAway(t *testing.T) {
