--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/place/alive"
 	"github.com/bramleycove/bramleycove/internal/place/shift"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 )
@@ -43,13 +44,15 @@
 const (
 	Grant Kind = iota
 	Release
+	// Open opens the connection for grants to the owner, unless it is open.
+	Open
 )
 
 // Session identifies the connection on which a server accepted a grant, among those of this leader to the same address. It ends
 // with the server's process at the latest. 0 is none.
 type Session uint64
 
-// Order is a grant or release of a range of keys, to be sent to its owner.
+// Order is a grant or release of a range of keys, to be sent to its owner, or opens the connection to an owner.
 type Order struct {
 	Kind
 	spans.Span
@@ -57,7 +60,7 @@
 	// Renewal is true if a grant with this fence may have been accepted before. Renewals to one server must be sent one by
 	// one, stopping at the first failure: a restarted server must not get a fence that its earlier process had.
 	Renewal bool
-	// Session is where a renewal must be sent. For Finish it is where the order was sent.
+	// Session is where a grant must be sent. For Finish it is where the order was sent, or the connection that is open.
 	Session Session
 }
 
@@ -71,12 +74,12 @@
 	Accepted                   // carried out by the server
 	Fenced                     // the server has seen a higher fence
 	Refused                    // the server answered with another error, such as for a wrong address
-	NotListening               // not sent, and no process listens at the server's address
+	NotListening               // not sent: the connection was refused
 	Ended                      // not carried out: a process with another id answered at the server's address
 )
 
 // String returns the form used in logs.
-func (k Kind) String() string { return [...]string{"grant", "release"}[k] }
+func (k Kind) String() string { return [...]string{"grant", "release", "open"}[k] }
 
 // String returns the form used in logs.
 func (r Result) String() string {
@@ -109,18 +112,25 @@
 	fencesEarlier bool        // the owner accepted a fence of this leader, so it refuses grants of earlier ones
 	inherited     bool        // the owner got the keys from an earlier leader
 	lastFailed    bool        // the last order failed
-	notListening  bool        // the last order to the server that was sent found its address not listening
-	ended         bool        // the last order to the server that was sent found another process at its address
 	fenceUnused   bool        // no server can have accepted a grant with this fence
 	session       Session     // on which the owner accepted the fence
 	singledAt     time.Time   // when a move for its load left it with a single key
+	restarted     bool        // a newer process under the owner's id may hold the keys, and nobody else
 	distrusted    bool        // the owner may not be the latest one
 	reassigned    bool        // this leader chose the owner
 	movingAfter   uint64      // number of the newest push when the range began to move
 }
 
-// freeAt returns the time from which no earlier grant of an unowned range can take effect.
+// freeAt returns the time from which no earlier grant of an unowned range can take effect at another server than the next owner.
 func (p *keyRange) freeAt() time.Time {
+	if p.restarted && p.target.Server == p.Server && p.target.StartMs > p.StartMs {
+		return time.Time{}
+	}
+	return p.overAt()
+}
+
+// overAt returns the time from which no earlier grant of an unowned range can take effect.
+func (p *keyRange) overAt() time.Time {
 	if p.fencesEarlier {
 		return p.lateUntil
 	}
@@ -144,6 +154,7 @@
 	ranges    []*keyRange
 	lastFence *uint64
 	dirty     bool
+	lines     lines
 }
 
 // New returns an assigner that takes over the assignment m. Grants of earlier leaders may be valid until inherited. All
@@ -203,14 +214,12 @@
 // LimitInherited lowers the time until which grants of earlier leaders may be valid to until.
 func (k *Assigner) LimitInherited(until time.Time) {
 	for _, p := range k.ranges {
-		if !p.inherited {
-			continue
-		}
 		if p.earlierUntil.After(until) {
 			p.earlierUntil = until
 		}
-		if p.renewedAt.IsZero() && !p.lastFailed && p.heldUntil.After(until) {
-			p.heldUntil = until
+		// A grant of this leader without an answer may last longer. Other failed orders change nothing.
+		if p.inherited && p.renewedAt.IsZero() && p.heldUntil.After(until) {
+			p.heldUntil = later(until, p.lateUntil)
 		}
 	}
 }
@@ -225,14 +234,16 @@
 	return m, k.dirty
 }
 
-// BeginRecord notes that the current assignment is being recorded. Call ConfirmRecord or FailRecord with the outcome.
-func (k *Assigner) BeginRecord() { k.dirty = false }
+// BeginRecord notes that the current assignment is being recorded from now on. Call ConfirmRecord or FailRecord with the outcome
+// before the next call.
+func (k *Assigner) BeginRecord(now time.Time) { k.dirty, k.lines.recordBegun = false, now }
 
 // FailRecord notes that the record may not be in the store.
 func (k *Assigner) FailRecord() { k.dirty = true }
 
 // ConfirmRecord notes that the store has the assignment up to this fence, so that spans up to it may be granted.
 func (k *Assigner) ConfirmRecord(fence uint64) {
+	k.lines.soleAt = k.lines.recordBegun
 	for _, p := range k.ranges {
 		if p.Fence <= fence {
 			p.unrecorded = false
@@ -276,12 +287,12 @@
 }
 
 // Observe updates the ranges for the present state of the servers, which status returns: usable if the owner may get or
-// keep keys, gone only if its incarnation has certainly ended.
-func (k *Assigner) Observe(now time.Time, status func(spans.Owner) (usable, gone bool)) {
+// keep keys, and the evidence that decides what is known of its process (alive.Decide).
+func (k *Assigner) Observe(now time.Time, status func(spans.Owner) (usable bool, by alive.Evidence)) {
 	for _, p := range k.ranges {
-		usable, gone := true, false
+		usable, by := true, alive.EntryCurrent
 		if p.Server != "" {
-			usable, gone = status(p.Owner)
+			usable, by = status(p.Owner)
 		}
 		if p.target.Server != "" {
 			if ok, _ := status(p.target); !ok {
@@ -293,13 +304,12 @@
 		}
 		switch {
 		case p.state == unowned:
-		case gone && !p.inFlight:
+		case by.Proves() == alive.Ended && !p.inFlight:
 			k.markUnowned(now, p, "")
 			// A restarted server knows no fence and may accept grants that an earlier leader still sends.
 			p.fencesEarlier = false
-			if p.ended || p.fenceUnused && p.notListening {
-				// Grants ended with the process, and the next one at its address takes none that name another id. Or no grant was
-				// accepted since the server stopped listening.
+			p.restarted = by.LeavesGrants()
+			if !p.restarted {
 				p.lateUntil = now
 			} else if !p.inherited || !p.renewedAt.IsZero() {
 				// The restarted server may have accepted the last grant. Grants of earlier leaders are covered by
@@ -309,7 +319,6 @@
 		case p.state == releasing && !p.inFlight && now.After(p.heldUntil),
 			p.state == owned && p.lastFailed && !p.inFlight && now.After(p.heldUntil):
 			k.markUnowned(now, p, "")
-			p.target = spans.Owner{}
 		case p.state == announced && usable && k.PauseMoves:
 			p.state, p.stateSince, p.target = owned, now, spans.Owner{}
 		case !usable && p.state == owned && !p.unrecorded:
@@ -339,6 +348,15 @@
 		accepts[s.Owner] = s.AcceptsKeys
 	}
 	frozen := func(s spans.Span) bool { return k.isFrozen(s) || accepts[s.Owner] && k.stays(now, s) }
+	for _, p := range k.ranges {
+		if p.state != unowned || !p.restarted || p.target.Server != "" || !now.Before(p.overAt()) {
+			continue
+		}
+		// Any other server would have to wait.
+		if i := slices.IndexFunc(servers, func(s shift.Server) bool { return s.AcceptsKeys && s.Server == p.Server && s.StartMs > p.StartMs }); i >= 0 {
+			p.target = servers[i].Owner
+		}
+	}
 	moves := shift.Plan(k.plannedMap(), servers, loads, level && !k.PauseMoves, frozen)
 	for _, mv := range moves {
 		k.startMove(now, mv)
@@ -450,6 +468,7 @@
 // DueOrders returns the orders to send now. Grants last for duration. Each order must be followed by Finish.
 func (k *Assigner) DueOrders(now time.Time, duration time.Duration) (out []Order) {
 	k.assignUnowned(now)
+	out = k.dueOpens(now)
 	renewing, inFlight, nonRenewals := make(map[spans.Owner]bool), make(map[spans.Owner]int), 0
 	for _, p := range k.ranges {
 		if !p.inFlight {
@@ -480,15 +499,15 @@
 			out = append(out, Order{Kind: Release, Span: p.Span})
 		case p.reassigned && p.fenceUnused && k.WitnessedPush <= p.movingAfter: // no majority knows of the move yet
 		case (p.state == owned || p.state == announced) && !p.unrecorded && now.Sub(p.renewedAt) >= renewInterval && (p.fenceUnused || !renewing[p.Owner]):
-			p.inFlight = true
+			o := Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal, Session: p.session}
 			if !renewal {
+				if o.Session = k.lines.usable(p.Owner); o.Session == 0 {
+					continue
+				}
 				inFlight[p.Owner]++
 				nonRenewals++
 			}
-			o := Order{Kind: Grant, Span: p.Span, Duration: duration, Renewal: renewal}
-			if renewal {
-				o.Session = p.session
-			}
+			p.inFlight = true
 			out = append(out, o)
 		}
 	}
@@ -503,9 +522,14 @@
 		}
 		*k.lastFence++
 		p.Span = spans.Span{First: p.First, Last: p.Last, Owner: p.target, Fence: *k.lastFence, Handover: p.Handover}
+		before := *p
 		*p = keyRange{
 			Span: p.Span, unrecorded: true, fenceUnused: true, stateSince: now, singledAt: p.singledAt, reassigned: true, movingAfter: p.movingAfter,
 		}
+		if before.restarted {
+			// Until the new process accepts the new fence, it may hold the keys by earlier grants.
+			p.heldUntil, p.lateUntil, p.earlierUntil = before.lateUntil, before.lateUntil, before.earlierUntil
+		}
 		k.dirty = true
 	}
 }
@@ -513,6 +537,13 @@
 // Finish takes the result of an order that was sent at start and ended at now. The duration of a grant counts from now,
 // since the grant may have reached the server that late.
 func (k *Assigner) Finish(start, now time.Time, o Order, res Result, handover string) {
+	if o.Kind == Open {
+		k.finishOpen(now, o, res)
+		return
+	}
+	if o.Kind == Grant && res != Accepted && res != Fenced {
+		k.lines.reopen(o.Owner)
+	}
 	for _, p := range k.ranges {
 		// Also finds the parts of a range that was split while the order was in flight.
 		if p.First < o.First || p.Last > o.Last || p.Owner != o.Owner || p.Fence != o.Fence {
@@ -529,9 +560,6 @@
 		if p.Owner != o.Owner || p.state == unowned {
 			continue
 		}
-		if res != NotSent {
-			p.notListening, p.ended = res == NotListening, res == Ended
-		}
 		// The server may have restarted under its id, and a restarted server must not get a fence of the earlier process.
 		if res != Accepted && res != Ended && !p.inFlight && (!p.fenceUnused || res == Fenced) {
 			k.replaceFence(p)
