Keep a route's number of attempts after a failed answer

A repeatable request of a route with one attempt that got 500 was sent to a second server: the number of attempts counted as two at least. TestOneAttempt failed with "status 200, <nil>, 1 requests at the second server; want 500 from the first".

--- a/internal/flow/sender/again.go
+++ b/internal/flow/sender/again.go
@@ -10,7 +10,7 @@
 
 // shouldRetryFailure reports whether r is a server error that may be retried, and then charges the retry budget.
 func (c *Sender) shouldRetryFailure(x *Call, r Reply) bool {
-	return r.Status >= 500 && x.Route.MayRepeat() && time.Until(x.Deadline) > minTimeLeft && x.SendCount < 2 && x.SendCount < max(2, x.Route.Attempts) && c.takeRetry(x.poolName)
+	return r.Status >= 500 && x.Route.MayRepeat() && time.Until(x.Deadline) > minTimeLeft && x.SendCount < min(2, max(1, x.Route.Attempts)) && c.takeRetry(x.poolName)
 }
 
 // retryFailure retries if r is a server error that may be retried, and returns the better answer.
--- a/internal/flow/sender/allow_test.go
+++ b/internal/flow/sender/allow_test.go
@@ -14,6 +14,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/sender"
+	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -175,3 +176,25 @@
 		t.Errorf("the cold server got %d requests with 2 permits", n)
 	}
 }
+
+// Guards against a second try after a failed answer that the route does not permit.
+func TestOneAttempt(t *testing.T) {
+	first, other := startServer(t, "a", answer500), startServer(t, "b", answerOK)
+	other.DC = "far" // so that first is chosen first
+	s := newSender(t, snapshotOf(false, other))
+	for range 20 { // earns the budget for retries
+		if _, err := s.send(context.Background(), false, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.setSnapshot(snapshotOf(false, first, other))
+	earlier := other.requestCount.Load()
+	now := time.Now()
+	a, err := s.Send(now, &sender.Call{
+		Request: &work.Request{ID: "r", Method: "GET", URI: "/x", Deadline: now.Add(time.Second)},
+		Route:   &tables.Route{Name: "r", Pool: "p", Attempts: 1, Target: time.Second}, CallerCtx: context.Background(), ReceivedAt: now,
+	})
+	if err != nil || a.Status != 500 || other.requestCount.Load() > earlier {
+		t.Errorf("status %d, %v, %d requests at the second server; want 500 from the first", a.Status, err, other.requestCount.Load()-earlier)
+	}
+}
