Give no keys to servers that refuse connections for longer than grants last

When more than 40 % of a pool had crashed and were still registered, none counted as lost, so that keys went from one dead server to another: 4.6 and 4.7 s without an owner after the fourth and fifth crash of eight. A server that has refused connections for longer than grants last holds nothing; it gets no keys now and does not count for that share. The leader opens the connection once a second and takes the server back when that succeeds; a lost server got no order before and so, by reading, no keys until the leader changed. assign.TestRefusingForLong failed before ("a server that has refused connections for longer than grants last is not lost").

Not changed: a server lost by silence alone gets no keys until it answers an order or the leader changes.

--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -155,6 +155,7 @@
 	lastFence *uint64
 	dirty     bool
 	lines     lines
+	servers   []shift.Server // of the last call of Plan
 }
 
 // New returns an assigner that takes over the assignment m. Grants of earlier leaders may be valid until inherited. All
@@ -343,6 +344,7 @@
 // Plan chooses new owners by the load of each key and returns the moves that it starts. Moves that only balance load are
 // made if level is true and PauseMoves is not set.
 func (k *Assigner) Plan(now time.Time, servers []shift.Server, loads *shift.Loads, level bool) []shift.Move {
+	k.servers = servers
 	accepts := make(map[spans.Owner]bool)
 	for _, s := range servers {
 		accepts[s.Owner] = s.AcceptsKeys
--- a/internal/place/assign/lines.go
+++ b/internal/place/assign/lines.go
@@ -6,6 +6,9 @@
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 )
 
+// probeInterval is the time between two attempts to open the connection to a server that refused it and gets no keys.
+const probeInterval = time.Second
+
 // maxLines bounds memory: at this number, all are forgotten. They are opened again when first grants need them.
 const maxLines = 1000
 
@@ -15,6 +18,7 @@
 	openedBy time.Time // it was open at that time
 	check    bool      // it may have been closed
 	inFlight bool      // an order to open it was sent
+	failed   bool      // it could not be opened
 	retryAt  time.Time
 }
 
@@ -74,6 +78,11 @@
 			need(p.Owner, true)
 		}
 	}
+	for _, s := range k.servers {
+		if x := l.open[s.Owner]; x != nil && x.failed && now.Sub(x.retryAt) >= probeInterval {
+			need(s.Owner, false)
+		}
+	}
 	return out
 }
 
@@ -82,7 +91,7 @@
 	if x == nil {
 		return
 	}
-	x.inFlight, x.check = false, false
+	x.inFlight, x.check, x.failed = false, false, res != Accepted
 	if res == Accepted {
 		if x.session != o.Session {
 			x.session, x.openedBy = o.Session, now
--- a/internal/place/assign/reach.go
+++ b/internal/place/assign/reach.go
@@ -24,15 +24,26 @@
 type Reachability struct {
 	alive.Book
 	failingSince map[spans.Owner]time.Time // start of the first of the latest consecutive failures
+	refusing     map[spans.Owner]bool      // the last order that was sent found connections refused
 }
 
 // Observe takes the result of an order that was sent at start.
 func (r *Reachability) Observe(o Order, res Result, start time.Time) {
+	if r.failingSince == nil {
+		r.failingSince, r.refusing = make(map[spans.Owner]time.Time), make(map[spans.Owner]bool)
+	}
 	if o.Kind == Open && res == Accepted {
-		return // the kernel of a suspended process accepts connections as well
+		// The kernel of a suspended process accepts connections as well, so that this ends only refusals.
+		if r.refusing[o.Owner] {
+			delete(r.failingSince, o.Owner)
+			delete(r.refusing, o.Owner)
+		}
+		return
 	}
-	if r.failingSince == nil {
-		r.failingSince = make(map[spans.Owner]time.Time)
+	if res == NotListening {
+		r.refusing[o.Owner] = true
+	} else if res != NotSent {
+		delete(r.refusing, o.Owner)
 	}
 	if e, ok := evidence[res]; ok {
 		r.Note(o.Owner, e, start)
@@ -47,18 +58,30 @@
 
 // IsLost reports whether orders to a server have failed for so long that its keys should go to others. It is false while so
 // many servers of the pool fail that the fault likely lies with the leader or its link: reassigning their keys would only
-// add to it. pool returns all servers of the pool.
+// add to it. Servers that refuse connections for longer than grants last hold nothing, and don't count. pool returns all servers of the
+// pool.
 func (r *Reachability) IsLost(now time.Time, o spans.Owner, pool func() []spans.Owner) bool {
 	if !r.isSilent(now, o) {
 		return false
 	}
-	n, all := 0, pool()
-	for _, x := range all {
-		if r.isSilent(now, x) {
-			n++
+	if r.holdsNothing(now, o) {
+		return true
+	}
+	silent, all := 0, 0
+	for _, x := range pool() {
+		if r.holdsNothing(now, x) {
+			continue
+		}
+		if all++; r.isSilent(now, x) {
+			silent++
 		}
 	}
-	return float64(n) <= maxLostShare*float64(len(all))
+	return float64(silent) <= maxLostShare*float64(all)
+}
+
+func (r *Reachability) holdsNothing(now time.Time, o spans.Owner) bool {
+	since, failing := r.failingSince[o]
+	return failing && r.refusing[o] && now.Sub(since) > GrantDuration+GrantDuration/20
 }
 
 // IsFailing reports whether the last order to a server failed.
--- a/internal/place/assign/reach_test.go
+++ b/internal/place/assign/reach_test.go
@@ -36,6 +36,49 @@
 	}
 }
 
+// Guards against keys that go to servers that have crashed, as so many of a pool have that a fault of the leader's link is assumed, and
+// against a server that never gets keys again after it refused connections for a while.
+func TestRefusingForLong(t *testing.T) {
+	c := &steadyPool{now: epoch}
+	c.Assigner = assign.New(nil, &c.fence, c.now, c.now)
+	a, b := shift.Server{Owner: owner("a"), Capacity: 10, AcceptsKeys: true}, shift.Server{Owner: owner("b"), Capacity: 10, AcceptsKeys: true}
+	pool := func() []spans.Owner { return []spans.Owner{a.Owner, b.Owner} }
+	var r assign.Reachability
+	refuse := true
+	run := func(d time.Duration) (lost bool) {
+		for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(50 * time.Millisecond) {
+			lost = r.IsLost(c.now, a.Owner, pool)
+			c.Observe(c.now, func(o spans.Owner) (bool, alive.Evidence) { return o != a.Owner || !lost, alive.EntryCurrent })
+			c.Plan(c.now, []shift.Server{{Owner: a.Owner, Capacity: 10, AcceptsKeys: !lost}, b}, new(shift.Loads), true)
+			if _, changed := c.Map(); changed {
+				c.BeginRecord(c.now)
+				c.ConfirmRecord(c.fence)
+			}
+			for _, o := range c.DueOrders(c.now, assign.GrantDuration) {
+				res := assign.Accepted
+				if o.Server == "a" && refuse {
+					res = assign.NotListening
+				}
+				o.Session = 1
+				r.Observe(o, res, c.now)
+				c.Finish(c.now, c.now, o, res, "")
+			}
+		}
+		return lost
+	}
+	// One of two servers is more than the share that may count as lost.
+	if run(2 * time.Second) {
+		t.Error("half of a pool is lost after 2 s")
+	}
+	if !run(2500 * time.Millisecond) {
+		t.Error("a server that has refused connections for longer than grants last is not lost")
+	}
+	run(2 * time.Second)
+	if refuse = false; run(2 * time.Second) {
+		t.Error("a server that accepts connections again is still lost after 2 s")
+	}
+}
+
 // Guards against keys that stay unserved until the last grant of a server expires though another process has its address, and against a
 // new owner beside one whose orders have only got no answer.
 func TestOtherProcessAtAddress(t *testing.T) {
