--- a/internal/place/alive/alive.go
+++ b/internal/place/alive/alive.go
@@ -34,7 +34,7 @@
 	EntryOlder
 	// EntryNewer: its id is registered with a newer start time.
 	EntryNewer
-	// AddressTaken: another id with a newer start time is registered at its address.
+	// AddressTaken: another id with a newer start time is registered at its address. Processes at one address share a machine and its clock.
 	AddressTaken
 	// OtherID: an answer from its address names another id, or is 421 to a request that expects its id.
 	OtherID
@@ -68,8 +68,8 @@
 // come from a later process under the same id. It outweighs only earlier answers of another id, and failed calls after it leave
 // the process unknown.
 func Decide(now time.Time, seen Seen) (s State, by Evidence) {
-	latest := func(kinds ...Evidence) (at time.Time) {
-		for _, e := range kinds {
+	latest := func(evidence ...Evidence) (at time.Time) {
+		for _, e := range evidence {
 			if seen[e].After(at) {
 				at = seen[e]
 			}
--- a/internal/place/assign/assign.go
+++ b/internal/place/assign/assign.go
@@ -574,9 +574,6 @@
 	case p.state != releasing:
 	case res == Accepted:
 		k.markUnowned(now, p, handover)
-	case res == Ended:
-		k.markUnowned(now, p, "")
-		p.lateUntil, p.fencesEarlier = now, false
 	case now.After(p.heldUntil):
 		k.markUnowned(now, p, "")
 	default:
