Give the position and the text of a value of a document

Callers of jsonc could report faults at a value, but neither learn where it stands nor decode its text otherwise. The check of the platform's configurations needs both. Node gets Position and Raw; faults are placed by the same function as before.

--- a/internal/oper/jsonc/document.go
+++ b/internal/oper/jsonc/document.go
@@ -58,12 +58,18 @@
 	if len(d.faults) >= maxFaults {
 		return
 	}
+	f := Fault{File: d.file, Message: message, Warning: warning}
+	f.Line, f.Column = d.position(offset)
+	d.faults = append(d.faults, f)
+}
+
+// position returns the line and the column of the byte at offset, both from 1.
+func (d *Doc) position(offset int) (line, column int) {
 	line, found := slices.BinarySearch(d.lineStarts, offset)
 	if found {
 		line++
 	}
-	f := Fault{File: d.file, Line: line, Column: 1 + offset - d.lineStarts[line-1], Message: message, Warning: warning}
-	d.faults = append(d.faults, f)
+	return line, 1 + offset - d.lineStarts[line-1]
 }
 
 // addSyntaxError records a parser error, whose text holds the position.
--- a/internal/oper/jsonc/node.go
+++ b/internal/oper/jsonc/node.go
@@ -20,6 +20,24 @@
 // Valid reports whether the node has a value.
 func (n Node) Valid() bool { return n.value != nil }
 
+// Position returns the line and the column, in bytes, of the value, both from 1, or zeros for an invalid node.
+func (n Node) Position() (line, column int) {
+	if n.value == nil {
+		return 0, 0
+	}
+	return n.doc.position(n.value.StartOffset)
+}
+
+// Raw returns the text of the value without the white space and comments around it, or nil for an invalid node.
+func (n Node) Raw() []byte {
+	if n.value == nil {
+		return nil
+	}
+	v := *n.value
+	v.BeforeExtra, v.AfterExtra = nil, nil
+	return v.Pack()
+}
+
 // AddFault records a fault at the value.
 func (n Node) AddFault(format string, args ...any) { n.addMessage(false, format, args...) }
 
