Add the command check-platform

Exit code 0 means no errors, 1 errors, 2 that it could not run. The check is passed in by the main program, as cmds must not know the platform.

--- a/cmd/bramleycove/main.go
+++ b/cmd/bramleycove/main.go
@@ -16,7 +16,7 @@
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	app := cmds.New(os.Stdout, os.Stderr, version(), daemon.Run)
-	app.ServeOnPlatform = platform.Run
+	app.ServeOnPlatform, app.CheckPlatform = platform.Run, platform.Check
 	code := app.Run(ctx, os.Args[1:])
 	cancel()
 	os.Exit(code)
--- a/internal/oper/cmds/cmds.go
+++ b/internal/oper/cmds/cmds.go
@@ -16,13 +16,14 @@
 	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
 	"github.com/bramleycove/bramleycove/internal/oper/opapi"
 	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
+	"github.com/bramleycove/bramleycove/internal/oper/vet"
 )
 
 // Exit codes.
 const (
 	ExitOK          = 0
 	ExitFaults      = 1 // invalid tables or settings, or another failure
-	ExitUsage       = 2
+	ExitUsage       = 2 // also a file that check-platform can't read
 	ExitConflict    = 3 // another version was accepted on the same base
 	ExitUnconfirmed = 4 // accepted, but not every instance has confirmed it
 	ExitPlatform    = 5 // log, list or instance unreachable
@@ -36,13 +37,16 @@
 	Serve func(ctx context.Context, cfg *config.Config) error
 	// ServeOnPlatform runs an instance on the users' platform, with the settings file named by the environment.
 	ServeOnPlatform func(ctx context.Context) error
+	// CheckPlatform checks a configuration of the users' platform, and compares it with the one in force unless that is nil.
+	// It fails only if the one in force is invalid.
+	CheckPlatform func(document, inForce []byte, o vet.Options) (*vet.Report, error)
 	// NewService returns the publishing service for this log and list.
 	NewService func(logAddr, list netip.AddrPort) *pubsvc.Service
 	// Explain queries the operator interface at addr.
 	Explain func(ctx context.Context, addr netip.AddrPort, method, path, key string) (opapi.Explanation, error)
 }
 
-// New returns an app that uses the real platform. ServeOnPlatform is not set.
+// New returns an app that uses the real platform. ServeOnPlatform and CheckPlatform are not set.
 func New(stdout, stderr io.Writer, version string, serve func(context.Context, *config.Config) error) *App {
 	return &App{
 		Stdout: stdout, Stderr: stderr, Version: version, Serve: serve,
@@ -52,14 +56,15 @@
 
 // grammar declares the commands for kong, in the order of --help.
 type grammar struct {
-	Serve    serveCommand    `cmd:"" help:"Run an instance until it is told to stop."`
-	Platform platformCommand `cmd:"" help:"Run an instance on the users' platform until it is told to stop."`
-	Check    checkCommand    `cmd:"" help:"Check tables and settings without the platform."`
-	Publish  publishCommand  `cmd:"" help:"Put new tables in force."`
-	Diff     diffCommand     `cmd:"" help:"Show what changes between two versions of the tables."`
-	Status   statusCommand   `cmd:"" help:"Show the status of the instances."`
-	Explain  explainCommand  `cmd:"" help:"Show where a request would go and why."`
-	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
+	Serve         serveCommand         `cmd:"" help:"Run an instance until it is told to stop."`
+	Platform      platformCommand      `cmd:"" help:"Run an instance on the users' platform until it is told to stop."`
+	Check         checkCommand         `cmd:"" help:"Check tables and settings without the platform."`
+	CheckPlatform checkPlatformCommand `cmd:"" help:"Check a configuration of the users' platform before it is published."`
+	Publish       publishCommand       `cmd:"" help:"Put new tables in force."`
+	Diff          diffCommand          `cmd:"" help:"Show what changes between two versions of the tables."`
+	Status        statusCommand        `cmd:"" help:"Show the status of the instances."`
+	Explain       explainCommand       `cmd:"" help:"Show where a request would go and why."`
+	Version       versionCommand       `cmd:"" help:"Show the version of this program."`
 }
 
 // parserExit is the exit code with which the parser's exit function panics to end parsing after --help.
@@ -103,6 +108,12 @@
 // Error returns the message and refers to --help.
 func (e *usageError) Error() string { return e.message + " (see --help)" }
 
+// inputError reports a file without which a command can't run.
+type inputError struct{ cause error }
+
+// Error returns the cause.
+func (e *inputError) Error() string { return e.cause.Error() }
+
 // unconfirmedError reports that an accepted version is not confirmed by every instance.
 type unconfirmedError struct {
 	version   uint64
@@ -129,7 +140,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case errors.As(err, new(*usageError)), errors.As(err, new(*pubsvc.VersionNotFoundError)):
+	case errors.As(err, new(*usageError)), errors.As(err, new(*inputError)), errors.As(err, new(*pubsvc.VersionNotFoundError)):
 		return ExitUsage
 	case errors.As(err, new(*pubsvc.ConflictError)):
 		return ExitConflict
--- a/internal/oper/cmds/cmds_test.go
+++ b/internal/oper/cmds/cmds_test.go
@@ -81,7 +81,7 @@
 
 // Guards the documented commands and flags.
 func TestHelp(t *testing.T) {
-	for _, name := range []string{"", "serve", "check", "publish", "diff", "status", "explain", "version"} {
+	for _, name := range []string{"", "serve", "check", "check-platform", "publish", "diff", "status", "explain", "version"} {
 		code, out, errs := new(fakePlatform).run(strings.Fields(name + " --help")...)
 		if code != cmds.ExitOK || errs != "" {
 			t.Errorf("%s --help: exit %d, %s", name, code, errs)
