Report a timeout below the target as a warning

A deployment in force has such a route: its answers are in time or don't come. As an error it would keep a valid configuration from being sent.

--- a/internal/oper/vet/vet.go
+++ b/internal/oper/vet/vet.go
@@ -122,8 +122,9 @@
 		c.add(at, "never matches: %s does not begin and end with a slash", jsonc.Quote(r.Path))
 	}
 	if r.Timeout > 0 && r.Timeout < r.Target {
+		// Such routes are in use: an answer is in time or does not come.
 		at.Field = "timeout"
-		c.add(at, "%s is below the target latency of %s", r.Timeout, r.Target)
+		c.warn(at, "%s is below the target latency of %s", r.Timeout, r.Target)
 	}
 	if c.Servers > 0 && r.Attempts > c.Servers {
 		at.Field = "attempts"
--- a/internal/oper/vet/vet_test.go
+++ b/internal/oper/vet/vet_test.go
@@ -18,7 +18,7 @@
 		fmt.Println(f.Warning, f.Kind, f.Name, f.Field, f.Message)
 	}
 	// Output:
-	// false route read timeout 1s is below the target latency of 2s
+	// true route read timeout 1s is below the target latency of 2s
 	// false route read attempts 3 attempts exceed the 2 servers
 	// false route read pool "store" is not defined; did you mean "stores"?
 	// true pool stores coldrate has no effect, as the time for which a server is cold is not set
