Look a request's regions up once for all servers, and measure refusals and cold servers

The route was looked up again for each server that a request might go to. Refusals by reason, cold servers and evacuated data centres had no metrics.

--- a/internal/flow/sender/allow.go
+++ b/internal/flow/sender/allow.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/flow/allow"
-	"github.com/bramleycove/bramleycove/internal/flow/cold"
 	"github.com/bramleycove/bramleycove/internal/flow/region"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -14,17 +13,12 @@
 // callers obey a third of their remaining time at most.
 const regionRetryAfter = time.Second
 
-// coldRate returns the rate that a cold server takes, and false for a warm one.
-func coldRate(now time.Time, w *topo.Snapshot, s *topo.Server) (rate float64, isCold bool) {
-	return cold.Rate(now, w, s)
-}
-
-// facts returns what decides on a request to a server with the state st. owner tells that only this server holds the request's key.
-// c.mu is held.
-func (c *Sender) facts(w *topo.Snapshot, x *Call, s *topo.Server, st *serverState, owner bool) allow.Facts {
+// facts returns what decides on a request that is allowed in the given regions to a server with the state st. owner tells that only
+// this server holds the request's key. c.mu is held.
+func (c *Sender) facts(w *topo.Snapshot, regions []string, s *topo.Server, st *serverState, owner bool) allow.Facts {
 	f := allow.Facts{
 		Notices: st.Notices, Owner: owner, HeldUntil: st.HeldUntil(), DrainTime: c.cfg.DrainTime,
-		InRegion: region.Allows(region.OfRequest(w, x.Route, x.Host, x.URI), c.cfg.Location, s.DC),
+		InRegion: region.Allows(regions, c.cfg.Location, s.DC),
 	}
 	f.EvacuatedSince, _ = w.Evacuations.Since(s.DC)
 	if s.Leaving {
--- a/internal/flow/sender/choose.go
+++ b/internal/flow/sender/choose.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/bramleycove/bramleycove/internal/flow/allow"
+	"github.com/bramleycove/bramleycove/internal/flow/cold"
 	"github.com/bramleycove/bramleycove/internal/flow/pick"
+	"github.com/bramleycove/bramleycove/internal/flow/region"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
 )
@@ -20,15 +22,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var warm, cold []pick.Candidate
+	var warm, coldOnes []pick.Candidate
 	windowFull := false
+	regions := region.OfRequest(w, x.Route, x.Host, x.URI)
 	f := failure{earliest: &deniedError{}}
 	for _, s := range w.Pools[x.poolName] {
 		if x.tried[s.Server] {
 			continue
 		}
 		st := c.stateOf(now, s)
-		if v := allow.Check(now, c.facts(w, x, s, st, false)); !v.OK() {
+		if v := allow.Check(now, c.facts(w, regions, s, st, false)); !v.OK() {
 			f.add(v)
 			continue
 		}
@@ -47,8 +50,8 @@
 		d := pick.Candidate{
 			ServerStats: &st.ServerStats, Server: s, Distance: c.cfg.Location.DistanceTo(s.DC), SharedLatency: c.sharedLatency(now, s),
 		}
-		if _, isCold := coldRate(now, w, s); isCold {
-			cold = append(cold, d)
+		if _, isCold := cold.Rate(now, w, s); isCold {
+			coldOnes = append(coldOnes, d)
 		} else {
 			warm = append(warm, d)
 		}
@@ -57,7 +60,7 @@
 	if t == nil {
 		// The few requests that cold servers take are left to callers whom no other server has room for.
 		var coldFull bool
-		t, coldFull = c.pickServer(now, x, cold)
+		t, coldFull = c.pickServer(now, x, coldOnes)
 		full = full || coldFull
 	}
 	switch {
--- a/internal/flow/sender/owner.go
+++ b/internal/flow/sender/owner.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/allow"
+	"github.com/bramleycove/bramleycove/internal/flow/region"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/topo"
@@ -89,7 +90,7 @@
 	defer c.mu.Unlock()
 	st := c.stateOf(now, s)
 	w, _ := c.cfg.Snapshot()
-	if v := allow.Check(now, c.facts(w, x, s, st, true)); !v.OK() {
+	if v := allow.Check(now, c.facts(w, region.OfRequest(w, x.Route, x.Host, x.URI), s, st, true)); !v.OK() {
 		return nil, c.verdictError(v)
 	}
 	if e := st.deniedUntil(now, x.Route.Priority); e != nil {
--- a/internal/flow/sender/permit.go
+++ b/internal/flow/sender/permit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/flow/cold"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/quota"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
@@ -89,7 +90,7 @@
 	t.state.finish(now, limit.Neutral, 0, 0, false)
 	reason := ReasonServerLimit
 	w, _ := c.cfg.Snapshot()
-	if _, isCold := coldRate(now, w, t.Server); isCold {
+	if _, isCold := cold.Rate(now, w, t.Server); isCold {
 		reason = ReasonServerCold
 	}
 	t.state.deny(now, x.Route.Priority, reason, q)
--- a/internal/oper/site/listen.go
+++ b/internal/oper/site/listen.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleycove/bramleycove/internal/edge/accept"
 	"github.com/bramleycove/bramleycove/internal/edge/entry"
+	"github.com/bramleycove/bramleycove/internal/flow/cold"
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/sender"
@@ -100,6 +101,14 @@
 func (s *Instance) handleMetrics(h *fasthttp.RequestCtx) {
 	s.meter.Gauge("held_bytes", nil).Update(float64(s.frontend.HeldBytes()))
 	s.meter.RecordBudget(s.cfg.Budget)
+	now, snap, coldServers := time.Now(), s.snapshot(), 0
+	for _, srv := range snap.Servers {
+		if _, isCold := cold.Rate(now, snap, srv); isCold {
+			coldServers++
+		}
+	}
+	s.meter.Gauge("cold_servers", nil).Update(float64(coldServers))
+	s.meter.Gauge("evacuated_dcs", nil).Update(float64(snap.Evacuations.Evacuated()))
 	text, err := s.meter.Text()
 	if err != nil {
 		s.log.Warn("metrics-incomplete", "error", err)
@@ -174,6 +183,7 @@
 			"target", o.Route.Target, "took", o.Duration, "behind", o.Behind, "waited", o.WaitTime, "roomwait", o.RoomWait, "sends", o.SendCount)
 	}
 	if o.Err != nil {
+		s.meter.Counter("failures_total", map[string]string{"reason": reason, "verdict": verdict.String()}).Inc(1)
 		s.log.Info("request", "request", o.ID, "route", name, "rank", rank, "key", o.Key, "version", o.TablesVersion, "status", o.Status,
 			"verdict", verdict, "reason", reason, "wait", o.Err.RetryAfter, "took", o.Duration, "behind", o.Behind, "roomwait", o.RoomWait, "sends", o.SendCount, "cause", o.Err.Cause)
 	}
