--- a/internal/oper/vet/vet.go
+++ b/internal/oper/audit/audit.go
@@ -1,7 +1,7 @@
-// Package vet checks decoded tables before they are published and compares them with the tables in force. Its results
+// Package audit checks decoded tables before they are published and compares them with the tables in force. Its results
 // depend only on the arguments. Messages don't name the kind or field of a value; Finding has them as the fields of
 // package tables are called, and the decoder's package replaces them by the names of its documents.
-package vet
+package audit
 
 import (
 	"fmt"
--- a/internal/oper/vet/vet_test.go
+++ b/internal/oper/audit/audit_test.go
@@ -1,12 +1,12 @@
-package vet_test
+package audit_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/oper/audit"
 	"github.com/bramleycove/bramleycove/internal/oper/tables"
-	"github.com/bramleycove/bramleycove/internal/oper/vet"
 )
 
 func ExampleCheck() {
@@ -14,7 +14,7 @@
 		Routes: []tables.Route{{Name: "read", Path: "/a/", Pool: "store", Timeout: time.Second, Target: 2 * time.Second, Attempts: 3}},
 		Pools:  []tables.Pool{{Name: "stores", ColdRate: 5}},
 	}
-	for _, f := range vet.Check(t, vet.Options{Servers: 2}) {
+	for _, f := range audit.Check(t, audit.Options{Servers: 2}) {
 		fmt.Println(f.Warning, f.Kind, f.Name, f.Field, f.Message)
 	}
 	// Output:
@@ -34,7 +34,7 @@
 		Pools:  []tables.Pool{{Name: "store"}, {Name: "copy"}},
 		Limits: tables.Limits{Body: 10},
 	}
-	for _, c := range vet.Diff(old, next) {
+	for _, c := range audit.Diff(old, next) {
 		fmt.Println(c)
 	}
 	// Output:
@@ -50,10 +50,10 @@
 		Routes: []tables.Route{{Name: "r", Path: "/", Pool: "p", Attempts: 9, Regions: []string{"east"}}},
 		Pools:  []tables.Pool{{Name: "p"}}, Limits: tables.Limits{Body: 1 << 40},
 	}
-	if got := vet.Check(tb, vet.Options{}); len(got) > 0 {
+	if got := audit.Check(tb, audit.Options{}); len(got) > 0 {
 		t.Error(got)
 	}
-	if got := vet.Check(tb, vet.Options{Regions: []string{"west"}, Servers: 1, Memory: 1}); len(got) != 3 {
+	if got := audit.Check(tb, audit.Options{Regions: []string{"west"}, Servers: 1, Memory: 1}); len(got) != 3 {
 		t.Errorf("%d findings, want 3: %v", len(got), got)
 	}
 }
--- a/internal/oper/vet/diff.go
+++ b/internal/oper/audit/diff.go
@@ -1,4 +1,4 @@
-package vet
+package audit
 
 import (
 	"cmp"
--- a/internal/oper/cmds/checkplatform.go
+++ b/internal/oper/cmds/checkplatform.go
@@ -5,9 +5,9 @@
 	"os"
 	"strings"
 
+	"github.com/bramleycove/bramleycove/internal/oper/audit"
 	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
 	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
-	"github.com/bramleycove/bramleycove/internal/oper/vet"
 )
 
 type checkPlatformCommand struct {
@@ -37,7 +37,7 @@
 			return &inputError{err}
 		}
 	}
-	report, err := a.CheckPlatform(document, inForce, vet.Options{Regions: c.Regions, Servers: c.Servers, Memory: c.Memory << 20})
+	report, err := a.CheckPlatform(document, inForce, audit.Options{Regions: c.Regions, Servers: c.Servers, Memory: c.Memory << 20})
 	if err != nil {
 		return &inputError{fmt.Errorf("%s: %w", c.InForce, err)}
 	}
@@ -62,7 +62,7 @@
 }
 
 // describe returns the finding as "kind name: field: message", without what is empty.
-func describe(f vet.Finding) string {
+func describe(f audit.Finding) string {
 	parts := []string{strings.TrimSpace(f.Kind + " " + f.Name), f.Field, f.Message}
 	for parts[0] == "" {
 		parts = parts[1:]
--- a/internal/oper/cmds/checkplatform_test.go
+++ b/internal/oper/cmds/checkplatform_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/bramleycove/bramleycove/internal/oper/audit"
 	"github.com/bramleycove/bramleycove/internal/oper/cmds"
-	"github.com/bramleycove/bramleycove/internal/oper/vet"
 )
 
 // Guards the exit codes, the options and the output of check-platform. The stand-in for the check finds what the document
@@ -25,12 +25,12 @@
 		}
 	}
 	t.Chdir(dir)
-	var options vet.Options
-	check := func(document, inForce []byte, o vet.Options) (*vet.Report, error) {
+	var options audit.Options
+	check := func(document, inForce []byte, o audit.Options) (*audit.Report, error) {
 		options = o
-		r := &vet.Report{Version: "2", Findings: []vet.Finding{}, Changes: []vet.Change{}}
+		r := &audit.Report{Version: "2", Findings: []audit.Finding{}, Changes: []audit.Change{}}
 		if string(document) != "valid" {
-			r.Findings = append(r.Findings, vet.Finding{
+			r.Findings = append(r.Findings, audit.Finding{
 				Warning: string(document) == "warning", Line: 3, Column: 5, Kind: "routes", Name: "r", Field: "host", Message: "is odd",
 			})
 		}
@@ -38,7 +38,7 @@
 			return nil, errors.New("no configuration")
 		}
 		if inForce != nil {
-			r.Changes = append(r.Changes, vet.Change{Action: "added", Kind: "routes", Name: "r"})
+			r.Changes = append(r.Changes, audit.Change{Action: "added", Kind: "routes", Name: "r"})
 		}
 		return r, nil
 	}
@@ -64,12 +64,12 @@
 			t.Errorf("%v: exit %d, want %d\n%s%s", c.args, code, c.code, out.String(), errs.String())
 		}
 	}
-	if want := (vet.Options{Regions: []string{"a", "b"}, Servers: 3, Memory: 2 << 20}); !reflect.DeepEqual(options, want) {
+	if want := (audit.Options{Regions: []string{"a", "b"}, Servers: 3, Memory: 2 << 20}); !reflect.DeepEqual(options, want) {
 		t.Errorf("options %+v, want %+v", options, want)
 	}
 	var out, errs bytes.Buffer
 	code := (&cmds.App{Stdout: &out, Stderr: &errs, CheckPlatform: check}).Run(context.Background(), []string{"check-platform", "error", "--in-force", "old", "--json"})
-	var r vet.Report
+	var r audit.Report
 	if err := json.Unmarshal(out.Bytes(), &r); err != nil || code != cmds.ExitFaults || len(r.Findings) != 1 || len(r.Changes) != 1 {
 		t.Errorf("exit %d, %v, %s", code, err, out.String())
 	}
--- a/internal/oper/cmds/cmds.go
+++ b/internal/oper/cmds/cmds.go
@@ -12,11 +12,11 @@
 	"github.com/alecthomas/kong"
 	"github.com/goccy/go-json"
 
+	"github.com/bramleycove/bramleycove/internal/oper/audit"
 	"github.com/bramleycove/bramleycove/internal/oper/config"
 	"github.com/bramleycove/bramleycove/internal/oper/jsonc"
 	"github.com/bramleycove/bramleycove/internal/oper/opapi"
 	"github.com/bramleycove/bramleycove/internal/oper/pubsvc"
-	"github.com/bramleycove/bramleycove/internal/oper/vet"
 )
 
 // Exit codes.
@@ -39,7 +39,7 @@
 	ServeOnPlatform func(ctx context.Context) error
 	// CheckPlatform checks a configuration of the users' platform, and compares it with the one in force unless that is nil.
 	// It fails only if the one in force is invalid.
-	CheckPlatform func(document, inForce []byte, o vet.Options) (*vet.Report, error)
+	CheckPlatform func(document, inForce []byte, o audit.Options) (*audit.Report, error)
 	// NewService returns the publishing service for this log and list.
 	NewService func(logAddr, list netip.AddrPort) *pubsvc.Service
 	// Explain queries the operator interface at addr.
