Keep the connections that first grants need, however many servers there are

TestManyServersGranted failed with "0 of 1600 ranges granted after 2 s". The bound counts what is needed now beyond it, and a round opens at most as many connections as it sends first grants.

--- a/internal/place/assign/lines.go
+++ b/internal/place/assign/lines.go
@@ -9,8 +9,9 @@
 // probeInterval is the time between two attempts to open the connection to a server that refused it and gets no keys.
 const probeInterval = time.Second
 
-// maxLines bounds memory: at this number, all are forgotten. They are opened again when first grants need them.
-const maxLines = 1000
+// maxSpareLines bounds memory: at so many connections beyond those that are needed now, all are forgotten and opened again as first
+// grants need them. A bound that the needed ones alone exceed would forget them in each round, so that no grant was ever sent.
+const maxSpareLines = 1000
 
 // openLine is the connection for grants to one server.
 type openLine struct {
@@ -50,7 +51,7 @@
 // connection was opened after the last record began, the owners are recorded again.
 func (k *Assigner) dueOpens(now time.Time) (out []Order) {
 	l := &k.lines
-	if l.open == nil || len(l.open) > maxLines {
+	if l.open == nil || len(l.open) > 2*len(k.ranges)+len(k.servers)+maxSpareLines {
 		l.open = make(map[spans.Owner]*openLine)
 	}
 	need := func(o spans.Owner, first bool) {
@@ -62,7 +63,7 @@
 		switch {
 		case x.inFlight:
 		case x.session == 0 || x.check:
-			if !now.Before(x.retryAt) {
+			if !now.Before(x.retryAt) && len(out) < maxNonRenewals {
 				x.inFlight = true
 				out = append(out, Order{Kind: Open, Span: spans.Span{Owner: o}})
 			}
