Take an answer without a length for cut if the write of its request failed

Callers got a part of an answer as the whole one, with status 200: the server answered a long upload at once, without a length, and reset the connection during the upload.

Such an answer is whole if its connection ends without a reset. The system reports a reset once, to the write or to the read, whichever comes first. After the write had got it, the read returned the end of the stream, and the error of the write was ignored.

The error of the write is now looked at once the body has ended. A write that goes on until then is ended by closing the connection, whose error says that no reset was reported. The same holds for short requests, whose write fails before the answer is read.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -243,27 +243,39 @@
 		go wg.Try(func() { writeDone <- c.send(ctx, req) })
 	} else if err := c.send(ctx, req); err != nil {
 		// The write may have failed because the server refused the request and closed before it had read all of it.
-		if !c.sent || ctx.Err() != nil || p.receive(c, want, resp) != nil {
+		if !c.sent || ctx.Err() != nil {
+			return false, err
+		}
+		if untilClose, receiveErr := p.receive(c, want, resp); receiveErr != nil || untilClose {
 			return false, err
 		}
 		return false, nil
 	}
-	err = p.receive(c, want, resp)
-	reuse = err == nil && resp.Header.ContentLength() != lengthUntilClose && c.br.Buffered() == 0
+	untilClose, err := p.receive(c, want, resp)
+	reuse = err == nil && !untilClose && c.br.Buffered() == 0
 	if writeDone != nil {
-		select {
-		case writeErr := <-writeDone:
-			reuse = reuse && writeErr == nil
-		default:
-			// The server no longer needs the rest of the body. Closing ends the write, and the caller may reuse the request.
-			_ = c.Close()
-			<-writeDone
-			reuse = false
+		writeErr := c.endWrite(writeDone)
+		reuse = reuse && writeErr == nil
+		if err == nil && untilClose && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) {
+			// The system reports a reset once. If the write gets the report, reading ends as if the server had closed.
+			err = errors.Mark(writeErr, ErrTruncated)
 		}
 	}
 	return reuse, err
 }
 
+// endWrite closes the connection if the write of a request, which sends its error to done, is still in progress, and returns that
+// error. The server no longer needs the rest of the body, and the caller may reuse the request afterwards.
+func (c *conn) endWrite(done <-chan error) error {
+	select {
+	case err := <-done:
+		return err
+	default:
+		_ = c.Close()
+		return errors.CombineErrors(<-done, net.ErrClosed)
+	}
+}
+
 // maxTokens bounds the tokens that a connection keeps.
 const maxTokens = 100
 
@@ -293,24 +305,26 @@
 	head bool   // the request's method is HEAD
 }
 
-// receive reads the answer to a request. It skips up to MaxForeign complete answers to other requests.
-func (p *Pool) receive(c *conn, want expected, resp *fasthttp.Response) error {
+// receive reads the answer to a request. It skips up to MaxForeign complete answers to other requests. untilClose reports whether the
+// body ended with the connection.
+func (p *Pool) receive(c *conn, want expected, resp *fasthttp.Response) (untilClose bool, err error) {
 	for n := 0; ; n++ {
 		resp.Reset()
 		if err := readHeader(resp, c.br); err != nil {
-			return err
+			return false, err
 		}
 		foreign := len(want.id) > 0 && !bytes.Equal(want.id, resp.Header.Peek(p.echoHeader()))
-		if foreign && (n >= p.MaxForeign || resp.Header.ContentLength() == lengthUntilClose) {
-			return ErrMismatch
+		untilClose = !want.hasNoBody(resp) && resp.Header.ContentLength() == lengthUntilClose
+		if foreign && (n >= p.MaxForeign || untilClose) {
+			return false, ErrMismatch
 		}
 		if !want.hasNoBody(resp) {
 			if err := p.readBody(c, resp); err != nil {
-				return err
+				return untilClose, err
 			}
 		}
 		if !foreign {
-			return nil
+			return untilClose, nil
 		}
 	}
 }
