Reject answers whose head is malformed

Callers got an answer whose head had a field with a blank in its name: with that line passed on, or, for Content Length, with a body up to the end of the connection. The same held for a blank before the colon, continued lines, lines ended by LF alone, control bytes in the status line and versions other than 1.0 and 1.1, in the final answer and in interim ones.

The HTTP library accepts these, as some recipients may, and nothing else read the head. A sound server sends none of them, so that they show that the head is damaged and its framing can't be trusted. RFC 9112 allows a 502 for continued lines.

The error is of the kind 'may have run', with status 502, for servers of both interfaces and for other instances.

--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -83,7 +83,7 @@
 	case errors.Is(err, intake.ErrOver):
 		// The instance has no memory for the answer; the server is sound.
 		return limit.Neutral, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
-	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, conns.ErrStatus):
+	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, conns.ErrStatus, conns.ErrMalformed):
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	default:
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonServerLost)
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -40,7 +40,7 @@
 	ReasonQuarantine    = "quarantine"      // the request has crashed servers
 	ReasonBadKey        = "bad-key"         // the pool is keyed, the key missing or invalid
 	ReasonServerLost    = "server-lost"     // the connection broke, and the request may have run
-	ReasonAnswerCut     = "answer-cut"      // the answer was incomplete, without valid status or to another request
+	ReasonAnswerCut     = "answer-cut"      // the answer was incomplete, malformed, without valid status or to another request
 	ReasonTimeout       = "server-timeout"  // no complete answer before the deadline
 	ReasonCancelled     = "cancelled"       // the caller closed its connection
 	ReasonUnsigned      = "answer-unsigned" // a success without the server's signature
--- a/internal/peer/proxy/forward.go
+++ b/internal/peer/proxy/forward.go
@@ -26,7 +26,7 @@
 	ReasonPeerLost        = "peer-lost"        // the hop broke after the first byte was written
 	ReasonPeerTimeout     = "peer-timeout"
 	ReasonCancelled       = "cancelled"
-	ReasonBadAnswer       = "peer-answer" // the answer is incomplete or not from a dispatcher
+	ReasonBadAnswer       = "peer-answer" // the answer is incomplete, malformed or not from a dispatcher
 	ReasonTooManyHops     = "too-many-hops"
 	ReasonMalformedHop    = "malformed-hop"
 )
@@ -235,7 +235,7 @@
 		e.Reason = ReasonPeerTimeout
 	case ctx.Err() != nil:
 		e.Reason = ReasonCancelled
-	case errors.IsAny(err, conns.ErrMismatch, conns.ErrTruncated, conns.ErrNoLength):
+	case errors.IsAny(err, conns.ErrMismatch, conns.ErrTruncated, conns.ErrNoLength, conns.ErrStatus, conns.ErrMalformed):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonBadAnswer
 	}
 	return e
--- a/internal/peer/proxy/forward_test.go
+++ b/internal/peer/proxy/forward_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -227,6 +228,31 @@
 	wg.Wait()
 }
 
+// Guards against a malformed answer of an instance that counts as the dispatcher's.
+func TestMalformedHopAnswer(t *testing.T) {
+	_, forwarder, _ := newFleet(t)
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 200 OK\r\nX Bad: 1"} {
+		ln, addr := listen(t)
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			if c, err := ln.Accept(); err == nil {
+				req := new(fasthttp.Request)
+				_ = req.Read(bufio.NewReader(c))
+				id := req.Header.Peek(work.RequestIDHeader)
+				_, _ = fmt.Fprintf(c, "%s\r\nRequest-Id: %s\r\nBramleycove-Verdict: ran\r\nContent-Length: 2\r\n\r\nno", line, id)
+				_ = c.Close()
+			}
+		})
+		forwarder.SetMembers([]*peerpb.Member{{Peer: addr.String(), Lanes: []string{"cat/s1"}}}, nil)
+		a, err := forwarder.Send(context.Background(), newRequest("cat"))
+		if e := result.FromError(err); err == nil || e.Verdict != result.MayHaveRun || e.Status != 502 || e.Reason != proxy.ReasonBadAnswer {
+			t.Errorf("%q: %d, %v", line, a.Status, err)
+		}
+		_ = ln.Close()
+		wg.Wait()
+	}
+}
+
 // Guards against the verdict "may have run" for a request that expired in the dispatcher's queue.
 func TestExpiredInQueue(t *testing.T) {
 	entry, _, _ := newFleet(t)
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -34,8 +34,10 @@
 	ErrTruncated = errors.New("answer cut short")
 	// ErrMismatch means that an answer does not echo the request's id.
 	ErrMismatch = errors.New("answer of another request")
-	// ErrStatus means that the status of an answer is below 100 or above 599.
+	// ErrStatus means that an answer does not begin with a status line, or that its status is below 100 or above 599.
 	ErrStatus = errors.New("answer without valid status")
+	// ErrMalformed means that a line of the head or the trailer of an answer is malformed.
+	ErrMalformed = errors.New("malformed answer")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
 	// ErrRepeated means that an answer may be another copy of an earlier one on its connection.
--- a/internal/plat/server/send.go
+++ b/internal/plat/server/send.go
@@ -28,6 +28,7 @@
 	ReasonMismatch  = "answer-mismatch"  // the answer belongs to another request
 	ReasonLength    = "answer-length"    // the answer was truncated, or its length cannot be checked
 	ReasonStatus    = "answer-status"    // the answer has no valid status
+	ReasonMalformed = "answer-malformed" // a line of the answer's head or trailer is malformed
 	ReasonLapsed    = "lease-lapsed"     // permission to send ended before the first byte was written
 	ReasonLimit     = "connection-limit" // all permitted connections are in use
 )
@@ -100,6 +101,8 @@
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMismatch
 	case errors.Is(err, conns.ErrStatus):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonStatus
+	case errors.Is(err, conns.ErrMalformed):
+		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMalformed
 	case sent && isTruncated(err):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonLength
 	}
--- a/test/broken/path_test.go
+++ b/test/broken/path_test.go
@@ -40,12 +40,15 @@
 	return req.Header.Get("X-Bramleycove-Request-Id"), nil
 }
 
-// reply writes text, in which ID stands for the request's id and STAMP for the lines of a signed answer.
-func (c *serverConn) reply(text, id string) {
+// expand returns text with the request's id for ID and the lines of a signed answer for STAMP.
+func expand(text, id string) string {
 	text = strings.ReplaceAll(text, "STAMP", "X-Bramleycove-Request-Id: ID\r\nX-Bramleycove-Server-Stamp: s.ID\r\n")
-	_, _ = c.Write([]byte(strings.ReplaceAll(text, "ID", id)))
+	return strings.ReplaceAll(text, "ID", id)
 }
 
+// reply writes text, expanded for the request with that id.
+func (c *serverConn) reply(text, id string) { _, _ = c.Write([]byte(expand(text, id))) }
+
 // startServer starts a stand-in that calls handle for each connection and closes it afterwards.
 func startServer(t *testing.T, id string, handle func(c *serverConn)) *topo.Server {
 	t.Helper()
