Keep the trailer of an answer out of its head

A server's whole answer with status 200 reached its caller as 503, which promises that the request has not run, if the trailer behind its chunks had the field by which servers refuse. In the same way a trailer signed an answer whose head had no signature: the caller got 200 without one. Malformed trailers were accepted, or waited for until the deadline.

The HTTP library merges the fields of a trailer into the header, from which the decision is taken. The lines of a trailer are now checked like those of a head, without the two fields of framing, and dropped. Trailers were not forwarded before.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -348,7 +348,7 @@
 		err = resp.ReadBody(c.br, maxAnswerSize)
 	}
 	if err == nil && length == -1 {
-		err = resp.Header.ReadTrailer(c.br)
+		err = skipTrailer(c.br)
 	}
 	if err != nil {
 		return errors.Mark(err, ErrTruncated)
--- a/internal/plat/conns/head.go
+++ b/internal/plat/conns/head.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -34,3 +36,25 @@
 	}
 	return checkField(line)
 }
+
+// skipTrailer checks the lines of a trailer. Its fields are dropped: nothing that decides about an answer may come after its body.
+func skipTrailer(br *bufio.Reader) error {
+	size, err := peekLines(br, false, checkTrailerLine)
+	if err != nil {
+		return err
+	}
+	_, err = br.Discard(size)
+	return err
+}
+
+func checkTrailerLine(_ int, line []byte) error {
+	if err := checkField(line); err != nil {
+		return err
+	}
+	for _, framing := range []string{fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding} {
+		if name, _, _ := bytes.Cut(line, []byte{':'}); bytes.EqualFold(name, []byte(framing)) {
+			return errors.Wrapf(ErrMalformed, "trailer %q", line)
+		}
+	}
+	return nil
+}
