Reject answers with status 101

A server's answer 101 was passed on as final, without its body. No request asks to change the protocol, since the field Upgrade is not forwarded, so that the answer is broken: callers would take what follows for another protocol.

It now counts as an answer without a valid status: 502, may have run. The new case of TestMalformedHead failed before, with status 101. That of TestVerdicts, on the own interface, got 502 before too, as an answer without a length, and now names the status. Both pass with the race detector.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -34,7 +34,7 @@
 	ErrTruncated = errors.New("answer cut short")
 	// ErrMismatch means that an answer does not echo the request's id.
 	ErrMismatch = errors.New("answer of another request")
-	// ErrStatus means that an answer does not begin with a status line, or that its status is below 100 or above 599.
+	// ErrStatus means that an answer does not begin with a status line, or that its status is 101, below 100 or above 599.
 	ErrStatus = errors.New("answer without valid status")
 	// ErrMalformed means that a line of the head or the trailer of an answer is malformed.
 	ErrMalformed = errors.New("malformed answer")
--- a/internal/plat/conns/head.go
+++ b/internal/plat/conns/head.go
@@ -23,8 +23,11 @@
 		if err := resp.Header.Read(br); err != nil {
 			return err
 		}
-		if s := resp.StatusCode(); s >= 200 || s == fasthttp.StatusSwitchingProtocols {
+		switch s := resp.StatusCode(); {
+		case s >= 200:
 			return nil
+		case s == fasthttp.StatusSwitchingProtocols:
+			return ErrStatus // no request asks for another protocol
 		}
 	}
 	return ErrInterim
--- a/internal/plat/server/send_test.go
+++ b/internal/plat/server/send_test.go
@@ -139,6 +139,7 @@
 		"status 000": {"\r\nHTTP/1.1 000 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok", result.MayHaveRun, 502, server.ReasonStatus},
 		"status 099": {"HTTP/1.1 099 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok", result.MayHaveRun, 502, server.ReasonStatus},
 		"status 600": {"HTTP/1.1 600 Busy\r\nRequest-Id: %s\r\nVerdict: not-run\r\nContent-Length: 0\r\n\r\n", result.MayHaveRun, 502, server.ReasonStatus},
+		"status 101": {"HTTP/1.1 101 Switching\r\nRequest-Id: %s\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", result.MayHaveRun, 502, server.ReasonStatus},
 		"after 102":  {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1  000\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok", result.MayHaveRun, 502, server.ReasonStatus},
 		"bad name":   {"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", result.MayHaveRun, 502, server.ReasonMalformed},
 		"bad length": {"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length : 2\r\n\r\nok", result.MayHaveRun, 502, server.ReasonMalformed},
--- a/test/broken/head_test.go
+++ b/test/broken/head_test.go
@@ -34,6 +34,7 @@
 		"status of two digits":        "HTTP/1.1 20 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
 		"status of four digits":       "HTTP/1.1 2000 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
 		"signed status":               "HTTP/1.1 +20 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
+		"status 101":                  "HTTP/1.1 101 Switching Protocols\r\nSTAMPConnection: upgrade\r\nUpgrade: x\r\n\r\nok",
 		"status 600":                  "HTTP/1.1 600 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
 		"no version":                  "HTTP 200 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
 		"version 2.0":                 "HTTP/2.0 200 OK\r\nSTAMPContent-Length: 2\r\n\r\nok",
