Reject answers whose framing contradicts itself

A server's answer of HTTP/1.0 with chunks reached the caller with status 200 and the framing of the chunks as its body, and one with both a length and chunks with the body of the chunks.

The HTTP library ignores a coding in HTTP/1.0 and, in HTTP/1.1, a length beside a coding. RFC 9112 has the first count as faulty framing, and the second be handled as an error: where the body ends depends on the recipient.

The check of a head now rejects both: 502, may have run.

--- a/internal/plat/conns/head.go
+++ b/internal/plat/conns/head.go
@@ -17,7 +17,7 @@
 // readHeader reads the header of the final answer and skips interim (1xx) ones.
 func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
 	for range maxInterim + 1 {
-		if _, err := peekLines(br, true, checkHeadLine); err != nil {
+		if _, err := peekLines(br, true, new(headChecker).check); err != nil {
 			return err
 		}
 		if err := resp.Header.Read(br); err != nil {
@@ -33,10 +33,24 @@
 	return ErrInterim
 }
 
-func checkHeadLine(n int, line []byte) error {
+// headChecker checks the lines of a head in turn.
+type headChecker struct {
+	isHTTP10             bool
+	hasLength, hasCoding bool // fields that frame the body
+}
+
+// check returns an error if line n is malformed, or if it contradicts the framing that earlier lines state. Recipients differ in which
+// of the two they believe.
+func (h *headChecker) check(n int, line []byte) error {
 	if n == 0 {
+		h.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return checkStatusLine(line)
 	}
+	h.hasLength = h.hasLength || isField(line, fasthttp.HeaderContentLength)
+	h.hasCoding = h.hasCoding || isField(line, fasthttp.HeaderTransferEncoding)
+	if h.hasCoding && (h.hasLength || h.isHTTP10) {
+		return errors.Wrapf(ErrMalformed, "framing with %q", line)
+	}
 	return checkField(line)
 }
 
@@ -54,10 +68,8 @@
 	if err := checkField(line); err != nil {
 		return err
 	}
-	for _, framing := range []string{fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding} {
-		if name, _, _ := bytes.Cut(line, []byte{':'}); bytes.EqualFold(name, []byte(framing)) {
-			return errors.Wrapf(ErrMalformed, "trailer %q", line)
-		}
+	if isField(line, fasthttp.HeaderContentLength) || isField(line, fasthttp.HeaderTransferEncoding) {
+		return errors.Wrapf(ErrMalformed, "trailer %q", line)
 	}
 	return nil
 }
--- a/internal/plat/conns/lines.go
+++ b/internal/plat/conns/lines.go
@@ -75,6 +75,11 @@
 	return nil
 }
 
+// isField reports whether line is a field with that name.
+func isField(line []byte, name string) bool {
+	return len(line) > len(name) && line[len(name)] == ':' && bytes.EqualFold(line[:len(name)], []byte(name))
+}
+
 // inToken tells which bytes may be in the name of a field.
 var inToken = func() (t [256]bool) {
 	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
