Send a request only once on a connection

Callers got 503, which promises that the request has not run, for a request that a server was running: the caller, or the router itself, had sent the same request to the server again after a refusal, and the server wrote the earlier refusal once more on the kept connection. The copy echoes the right id, and counted as the answer to the second sending. A caller that tries again then has the request run twice.

A connection now carries an id only once. A request that goes to the same server again takes a connection that has not carried it, or a new one, for which an idle one is closed if the limit is reached.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -131,6 +132,7 @@
 	bw        *bufio.Writer
 	budget    *intake.Budget
 	tokens    map[string]bool // of the answers so far
+	sentIDs   sentIDs
 	// received counts the bytes of the answer in progress, budgeted what was taken from budget for them. part is set once anything
 	// was taken. declared means that the body's buffer is counted instead of the bytes received.
 	received, budgeted int64
@@ -180,16 +182,19 @@
 	OnlyOpen bool
 	// onlyNew restricts the request to a new connection.
 	onlyNew bool
+	id      []byte // of the request
 }
 
 // DoWith is like Do with the given options.
 func (p *Pool) DoWith(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, opts SendOptions) (sent bool, err error) {
+	// While a long request is written, its header must not be read.
+	opts.id = append([]byte(nil), req.Header.Peek(p.echoHeader())...)
 	for {
 		c, isNew, err := p.acquire(ctx, opts)
 		if err != nil {
 			return false, err
 		}
-		reuse, err := p.exchange(ctx, c, req, resp, opts.SendBefore)
+		reuse, err := p.exchange(ctx, c, req, resp, opts)
 		sent = c.sent // once released, the connection may serve another request
 		c.maxIdle = p.idleLimit(resp)
 		p.release(c, reuse && !resp.ConnectionClose() && !req.ConnectionClose())
@@ -209,13 +214,14 @@
 }
 
 // exchange sends req and reads the answer. reuse reports whether the connection may carry another request.
-func (p *Pool) exchange(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, sendBefore time.Time) (reuse bool, err error) {
-	c.sent, c.sendBefore = false, sendBefore
+func (p *Pool) exchange(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, opts SendOptions) (reuse bool, err error) {
+	c.sent, c.sendBefore = false, opts.SendBefore
+	c.sentIDs.add(opts.id)
 	defer c.resetReceived()
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
-	reuse, err = p.sendAndReceive(ctx, c, req, resp)
+	reuse, err = p.sendAndReceive(ctx, c, req, resp, opts.id)
 	if err == nil && p.TokenHeader != "" {
 		var isNew bool
 		isNew, reuse = c.noteToken(string(resp.Header.Peek(p.TokenHeader)), reuse)
@@ -229,14 +235,13 @@
 		// All connections may have died without a reset; each would make another request time out.
 		p.closeIdle()
 	}
-	return !c.abandoned && err == nil && reuse, err
+	return !c.abandoned && err == nil && reuse && !c.sentIDs.full(), err
 }
 
 // sendAndReceive sends req and reads the answer to it. Without an error, reuse reports whether both were complete, so that
 // the connection may carry another request.
-func (p *Pool) sendAndReceive(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response) (reuse bool, err error) {
-	// While a long request is written, its header must not be read.
-	want := expected{id: append([]byte(nil), req.Header.Peek(p.echoHeader())...), head: req.Header.IsHead()}
+func (p *Pool) sendAndReceive(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, id []byte) (reuse bool, err error) {
+	want := expected{id: id, head: req.Header.IsHead()}
 	var writeDone chan error
 	if len(req.Body()) > minConcurrentBody {
 		// A server may answer before it has read a long body, and read the rest only once its answer has been read.
@@ -422,9 +427,12 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	for len(p.idleConns) > 0 && !opts.onlyNew {
-		c := p.idleConns[len(p.idleConns)-1]
-		p.idleConns = p.idleConns[:len(p.idleConns)-1]
+	for i := len(p.idleConns) - 1; i >= 0 && !opts.onlyNew; i-- {
+		c := p.idleConns[i]
+		if c.sentIDs.has(opts.id) {
+			continue
+		}
+		p.idleConns = slices.Delete(p.idleConns, i, i+1)
 		if idle := now.Sub(c.idleSince); idle < min(c.maxIdle, opts.MaxIdle) && c.br.Buffered() == 0 && work.IsReusable(c.Conn) {
 			return c, nil
 		}
@@ -435,7 +443,13 @@
 		return nil, ErrNotOpen
 	}
 	if p.maxConns > 0 && p.openCount >= p.maxConns {
-		return nil, ErrLimit
+		if len(p.idleConns) == 0 {
+			return nil, ErrLimit
+		}
+		// The idle connections have carried the request before.
+		_ = p.idleConns[0].Close()
+		p.idleConns = slices.Delete(p.idleConns, 0, 1)
+		p.openCount--
 	}
 	p.openCount++
 	p.openedCount++
--- a/internal/plat/server/send_test.go
+++ b/internal/plat/server/send_test.go
@@ -237,8 +237,10 @@
 	})
 	cl := server.New(f.addr, 1)
 	defer cl.Close()
+	lastID := 0
 	send := func() error {
-		req, ctx, cancel := newRequest("r1", 5*time.Second)
+		lastID++ // a connection carries an id once
+		req, ctx, cancel := newRequest(fmt.Sprint("r", lastID), 5*time.Second)
 		defer cancel()
 		_, err := cl.Send(ctx, req, time.Time{})
 		return err
@@ -258,3 +260,36 @@
 		t.Errorf("%d connections, want 2: a request that may have run must not be sent again", n)
 	}
 }
+
+// Guards against an earlier refusal of the same request, written once more on its connection, that counts while the request runs.
+func TestRefusalRepeated(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nVerdict: not-run\r\nContent-Length: 0\r\n\r\n"
+	var refused atomic.Bool
+	f := startFakeServer(t, func(_ int32, c net.Conn, br *bufio.Reader) {
+		for again := ""; ; again = refusal {
+			_, id, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			answer := rawAnswer(id, "ok")
+			if !refused.Swap(true) {
+				answer = refusal
+			}
+			_, _ = c.Write([]byte(again + answer))
+		}
+	})
+	cl := server.New(f.addr, 1)
+	defer cl.Close()
+	for _, want := range []result.Verdict{result.NotRun, result.Ran} {
+		req, ctx, cancel := newRequest("r1", 5*time.Second)
+		_, err := cl.Send(ctx, req, time.Time{})
+		cancel()
+		verdict := result.Ran
+		if err != nil {
+			verdict = result.FromError(err).Verdict
+		}
+		if verdict != want {
+			t.Errorf("%v, %v, want %v", verdict, err, want)
+		}
+	}
+}
