Send requests without an id on connections of their own

Callers got 503, which promises that the request has not run, for a request without an id that a server was running, if the server wrote an earlier refusal once more on the kept connection. Nothing was compared: a request without an id took any answer for its own, also one with another request's id.

On the platform, such a request now gets a new connection, which is closed after the answer, so that no earlier answer can be read from it. The own interface gives every request an id.

The cases without an id of TestRefusalRepeated failed before with 503 after one run; they pass with the race detector.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -76,7 +76,8 @@
 
 // Options adapt a pool to the protocol of its servers. The zero value is for bramleycove's own protocol.
 type Options struct {
-	// EchoHeader is the name of the header that answers echo; empty means work.RequestIDHeader.
+	// EchoHeader is the name of the header that answers echo; empty means work.RequestIDHeader. If it is set, a request without it gets a
+	// connection of its own, as nothing tells its answer from a copy of an earlier one.
 	EchoHeader string
 	// AcceptUnframed accepts answers that end when the server closes the connection without a reset.
 	AcceptUnframed bool
@@ -189,6 +190,8 @@
 func (p *Pool) DoWith(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, opts SendOptions) (sent bool, err error) {
 	// While a long request is written, its header must not be read.
 	opts.id = append([]byte(nil), req.Header.Peek(p.echoHeader())...)
+	alone := p.EchoHeader != "" && len(opts.id) == 0
+	opts.onlyNew = opts.onlyNew || alone
 	for {
 		c, isNew, err := p.acquire(ctx, opts)
 		if err != nil {
@@ -197,7 +200,7 @@
 		reuse, err := p.exchange(ctx, c, req, resp, opts)
 		sent = c.sent // once released, the connection may serve another request
 		c.maxIdle = p.idleLimit(resp)
-		p.release(c, reuse && !resp.ConnectionClose() && !req.ConnectionClose())
+		p.release(c, reuse && !alone && !resp.ConnectionClose() && !req.ConnectionClose())
 		if errors.Is(err, ErrRepeated) && !opts.onlyNew {
 			opts.onlyNew = true
 			if earlier, err := p.DoWith(ctx, req, resp, opts); err != nil {
--- a/test/broken/repeat_test.go
+++ b/test/broken/repeat_test.go
@@ -37,7 +37,7 @@
 // Guards against an earlier refusal, written once more on a kept connection, that counts for a request that runs: the caller is told to
 // try again, and the request runs twice.
 func TestRefusalRepeated(t *testing.T) {
-	for name, ids := range map[string][2]string{"other request": {"r1", "r2"}, "same request": {"r1", "r1"}} {
+	for name, ids := range map[string][2]string{"other request": {"r1", "r2"}, "same request": {"r1", "r1"}, "without ids": {"", ""}, "one without id": {"r1", ""}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var requests, runs atomic.Int32
