Don't forward a promise that the server has not given

Callers got 503, 429 or 408 from a server that had not said that the request did not run, for example because something in front of its work had failed. Callers take these statuses as a promise that the request has not run and never will, and send it again: it may then run twice. A success or redirection with the field that says 'not run' became 503, though it says as well that the request ran.

Statuses were forwarded unchanged, but mean more to callers than from servers, which give the promise by a field alone. Such answers are now errors: 502, may have run, reason answer-unclear. A 421 still counts as a refusal without the field: servers that are not addressed answer so by the protocol.

--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -59,6 +59,8 @@
 		return limit.Shed, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonServerBusy)
 	case err == nil && r.Refusal == RefusedNotOwner:
 		return limit.Neutral, fail(result.NotRun, fasthttp.StatusServiceUnavailable, ReasonNoOwner)
+	case err == nil && r.Unclear:
+		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonUnclear)
 	case err == nil && !r.Signed && r.Status < 300:
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonUnsigned)
 	case err == nil:
--- a/internal/flow/sender/sender.go
+++ b/internal/flow/sender/sender.go
@@ -44,6 +44,7 @@
 	ReasonTimeout       = "server-timeout"  // no complete answer before the deadline
 	ReasonCancelled     = "cancelled"       // the caller closed its connection
 	ReasonUnsigned      = "answer-unsigned" // a success without the server's signature
+	ReasonUnclear       = "answer-unclear"  // the answer leaves open whether the request ran, and its status would say that it did not
 	ReasonNoTimeLeft    = "no-time-left"    // the deadline is too near to send
 	ReasonStopping      = "stopping"        // the instance stops and could be killed before the answer
 )
@@ -58,11 +59,13 @@
 	RefusedNotOwner // the server is not the one addressed, or does not hold the key
 )
 
-// Reply is a decoded answer of a server. Signed tells that it has the server's signature, Leaving that the server is
+// Reply is a decoded answer of a server. Unclear tells that it must not reach the caller, whom its status would tell something about
+// whether the request ran that the server has not said. Signed tells that it has the server's signature, Leaving that the server is
 // leaving. Away is how long the server asks to get nothing, 0 if it does not.
 type Reply struct {
 	work.Answer
 	Refusal         Refusal
+	Unclear         bool
 	Signed, Leaving bool
 	Away            time.Duration
 	// Limit is the rate of requests that the server takes from all instances together, if the answer names one.
