Reject answers that echo the ids of several requests

A caller got an answer that named its request and another one, if its own id came first: only the first was compared. Such an answer belongs to neither request for certain, and now counts as a mismatch: 502, may have run. An id that is repeated is still accepted.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -323,7 +323,10 @@
 		if err := readHeader(resp, c.br); err != nil {
 			return false, err
 		}
-		foreign := len(want.id) > 0 && !bytes.Equal(want.id, resp.Header.Peek(p.echoHeader()))
+		foreign, err := want.isForeign(resp.Header.PeekAll(p.echoHeader()))
+		if err != nil {
+			return false, err
+		}
 		untilClose = !want.hasNoBody(resp) && resp.Header.ContentLength() == lengthUntilClose
 		if foreign && (n >= p.MaxForeign || untilClose) {
 			return false, ErrMismatch
@@ -339,6 +342,23 @@
 	}
 }
 
+// isForeign reports whether an answer that echoes ids is one to another request. It fails if the answer names several requests.
+func (e expected) isForeign(ids [][]byte) (bool, error) {
+	if len(e.id) == 0 {
+		return false, nil
+	}
+	same := 0
+	for _, id := range ids {
+		if bytes.Equal(id, e.id) {
+			same++
+		}
+	}
+	if same > 0 && same < len(ids) {
+		return false, ErrMismatch
+	}
+	return same == 0, nil
+}
+
 func (e expected) hasNoBody(resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
 	return e.head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
