--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/limit"
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
@@ -85,7 +86,7 @@
 	case errors.Is(err, intake.ErrOver):
 		// The instance has no memory for the answer; the server is sound.
 		return limit.Neutral, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
-	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, conns.ErrStatus, conns.ErrMalformed):
+	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, heads.ErrStatus, heads.ErrMalformed):
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	default:
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonServerLost)
--- a/internal/peer/proxy/forward.go
+++ b/internal/peer/proxy/forward.go
@@ -17,6 +17,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/place/view"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 	"github.com/bramleycove/bramleycove/internal/plat/server"
 )
 
@@ -235,7 +236,7 @@
 		e.Reason = ReasonPeerTimeout
 	case ctx.Err() != nil:
 		e.Reason = ReasonCancelled
-	case errors.IsAny(err, conns.ErrMismatch, conns.ErrTruncated, conns.ErrNoLength, conns.ErrStatus, conns.ErrMalformed):
+	case errors.IsAny(err, conns.ErrMismatch, conns.ErrTruncated, conns.ErrNoLength, heads.ErrStatus, heads.ErrMalformed):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonBadAnswer
 	}
 	return e
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -22,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/flow/work"
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
@@ -36,16 +37,10 @@
 	ErrTruncated = errors.New("answer cut short")
 	// ErrMismatch means that an answer does not echo the request's id.
 	ErrMismatch = errors.New("answer of another request")
-	// ErrStatus means that an answer does not begin with a status line, or that its status is 101, below 100 or above 599.
-	ErrStatus = errors.New("answer without valid status")
-	// ErrMalformed means that a line of the head or the trailer of an answer is malformed.
-	ErrMalformed = errors.New("malformed answer")
 	// ErrReset means that the server reset a new connection before anything was sent.
 	ErrReset = errors.New("new connection reset")
 	// ErrRepeated means that an answer may be another copy of an earlier one on its connection.
 	ErrRepeated = errors.New("copy of an earlier answer")
-	// ErrInterim means that a server sent more than maxInterim interim (1xx) answers.
-	ErrInterim = errors.New("too many interim answers")
 	// ErrNotOpen means that no open connection is idle, and the request must not go out on a new one.
 	ErrNotOpen = errors.New("no open connection")
 	// ErrClosed means that the pool was closed.
@@ -323,7 +318,7 @@
 func (p *Pool) receive(c *conn, want expected, resp *fasthttp.Response) (untilClose bool, err error) {
 	for n := 0; ; n++ {
 		resp.Reset()
-		if err := readHeader(resp, c.br); err != nil {
+		if err := heads.Read(resp, c.br); err != nil {
 			return false, err
 		}
 		foreign, err := want.isForeign(resp.Header.PeekAll(p.echoHeader()))
@@ -379,7 +374,7 @@
 		err = resp.ReadBody(c.br, maxAnswerSize)
 	}
 	if err == nil && length == -1 {
-		err = skipTrailer(c.br)
+		err = heads.SkipTrailer(c.br)
 	}
 	if err != nil {
 		return errors.Mark(err, ErrTruncated)
--- a/internal/plat/conns/endless_test.go
+++ b/internal/plat/conns/endless_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
@@ -67,7 +68,7 @@
 		"line of a head":   {answer + "X: ", strings.Repeat("x", 1000), 0, nil},
 		"lines of a head":  {answer, "X: " + strings.Repeat("x", 1000) + "\r\n", 0, nil},
 		"no answer at all": {"", strings.Repeat("\x00\xff", 500), 0, nil},
-		"interim answers":  {"", "HTTP/1.1 102 Processing\r\n\r\n", 0, conns.ErrInterim},
+		"interim answers":  {"", "HTTP/1.1 102 Processing\r\n\r\n", 0, heads.ErrInterim},
 		"body":             {answer + "Connection: close\r\n\r\n", strings.Repeat("x", 1000), 0, conns.ErrTooLarge},
 		"chunks":           {answer + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n", 0, conns.ErrTooLarge},
 		"trailer":          {answer + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + strings.Repeat("x", 1000) + "\r\n", 0, nil},
--- a/internal/plat/conns/head.go
+++ b/internal/plat/heads/heads.go
@@ -1,4 +1,6 @@
-package conns
+// Package heads reads the heads and trailers of HTTP answers. It rejects all that no sound server sends, where the HTTP library accepts
+// more: such an answer is damaged, and where its body ends depends on the reader.
+package heads
 
 import (
 	"bufio"
@@ -8,16 +10,25 @@
 	"github.com/valyala/fasthttp"
 )
 
+var (
+	// ErrStatus means that an answer does not begin with a status line, or that its status is 101, below 100 or above 599.
+	ErrStatus = errors.New("answer without valid status")
+	// ErrMalformed means that a line of the head or the trailer of an answer is malformed.
+	ErrMalformed = errors.New("malformed answer")
+	// ErrInterim means that a server sent too many interim (1xx) answers.
+	ErrInterim = errors.New("too many interim answers")
+)
+
 const (
 	// maxInterim bounds the interim (1xx) answers to one request. Each costs processor time.
 	maxInterim           = 16
 	minStatus, maxStatus = 100, 599
 )
 
-// readHeader reads the header of the final answer and skips interim (1xx) ones.
-func readHeader(resp *fasthttp.Response, br *bufio.Reader) error {
+// Read reads the header of the final answer into resp and skips interim (1xx) ones.
+func Read(resp *fasthttp.Response, br *bufio.Reader) error {
 	for range maxInterim + 1 {
-		if _, err := peekLines(br, true, new(headChecker).check); err != nil {
+		if _, err := peekLines(br, true, new(checker).check); err != nil {
 			return err
 		}
 		if err := resp.Header.Read(br); err != nil {
@@ -33,15 +44,15 @@
 	return ErrInterim
 }
 
-// headChecker checks the lines of a head in turn.
-type headChecker struct {
+// checker checks the lines of a head in turn.
+type checker struct {
 	isHTTP10             bool
 	hasLength, hasCoding bool // fields that frame the body
 }
 
 // check returns an error if line n is malformed, or if it contradicts the framing that earlier lines state. Recipients differ in which
 // of the two they believe.
-func (h *headChecker) check(n int, line []byte) error {
+func (h *checker) check(n int, line []byte) error {
 	if n == 0 {
 		h.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return checkStatusLine(line)
@@ -49,13 +60,13 @@
 	h.hasLength = h.hasLength || isField(line, fasthttp.HeaderContentLength)
 	h.hasCoding = h.hasCoding || isField(line, fasthttp.HeaderTransferEncoding)
 	if h.hasCoding && (h.hasLength || h.isHTTP10) {
-		return errors.Wrapf(ErrMalformed, "framing with %q", line)
+		return errors.Wrapf(ErrMalformed, "framing with %.100q", line)
 	}
 	return checkField(line)
 }
 
-// skipTrailer checks the lines of a trailer. Its fields are dropped: nothing that decides about an answer may come after its body.
-func skipTrailer(br *bufio.Reader) error {
+// SkipTrailer reads a trailer and checks its lines. Its fields are dropped: nothing that decides about an answer may come after its body.
+func SkipTrailer(br *bufio.Reader) error {
 	size, err := peekLines(br, false, checkTrailerLine)
 	if err != nil {
 		return err
@@ -69,7 +80,7 @@
 		return err
 	}
 	if isField(line, fasthttp.HeaderContentLength) || isField(line, fasthttp.HeaderTransferEncoding) {
-		return errors.Wrapf(ErrMalformed, "trailer %q", line)
+		return errors.Wrapf(ErrMalformed, "trailer %.100q", line)
 	}
 	return nil
 }
--- a/internal/plat/conns/lines.go
+++ b/internal/plat/heads/lines.go
@@ -1,4 +1,4 @@
-package conns
+package heads
 
 import (
 	"bufio"
@@ -24,7 +24,7 @@
 		text, hasCR := bytes.CutSuffix(line, []byte("\r\n"))
 		switch {
 		case !hasCR:
-			return 0, errors.Wrapf(ErrMalformed, "line %q", line)
+			return 0, errors.Wrapf(ErrMalformed, "line %.100q", line)
 		case len(text) == 0 && (n > 0 || !head):
 			return size, nil
 		}
@@ -57,11 +57,11 @@
 	ok := len(line) >= status && (string(line[:version]) == "HTTP/1.1" || string(line[:version]) == "HTTP/1.0") && line[version] == ' ' &&
 		(len(line) == status || line[status] == ' ') && isText(line[status:])
 	if !ok {
-		return errors.Wrapf(ErrStatus, "line %q", line)
+		return errors.Wrapf(ErrStatus, "line %.100q", line)
 	}
 	n, err := strconv.ParseUint(string(line[version+1:status]), 10, 16)
 	if err != nil || n < minStatus || n > maxStatus {
-		return errors.Wrapf(ErrStatus, "line %q", line)
+		return errors.Wrapf(ErrStatus, "line %.100q", line)
 	}
 	return nil
 }
@@ -70,7 +70,7 @@
 func checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte{':'})
 	if !ok || !isToken(name) || !isText(value) {
-		return errors.Wrapf(ErrMalformed, "field %q", line)
+		return errors.Wrapf(ErrMalformed, "field %.100q", line)
 	}
 	return nil
 }
--- a/internal/plat/server/send.go
+++ b/internal/plat/server/send.go
@@ -16,6 +16,7 @@
 	"github.com/bramleycove/bramleycove/internal/flow/result"
 	"github.com/bramleycove/bramleycove/internal/flow/work"
 	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 )
 
 // Reasons of failed sends, as they appear in result.Error.
@@ -99,9 +100,9 @@
 		e.Reason = ReasonCancelled
 	case errors.Is(err, conns.ErrMismatch):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMismatch
-	case errors.Is(err, conns.ErrStatus):
+	case errors.Is(err, heads.ErrStatus):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonStatus
-	case errors.Is(err, conns.ErrMalformed):
+	case errors.Is(err, heads.ErrMalformed):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonMalformed
 	case sent && isTruncated(err):
 		e.Status, e.Reason = fasthttp.StatusBadGateway, ReasonLength
