Read answers of other instances with the checks of servers' answers

Calls between instances took broken answers for good ones: a blank in or behind the name of a field, continued lines, version 3.0, a length beside chunks, malformed trailers, and any part of an answer without a length, of which a part can be decoded as a shorter message.

They used the client of net/http, which accepts these. Package trip now sends them over pools of package conns, with the times to connect as before. Instances always state a length.

--- a/internal/peer/calls/client.go
+++ b/internal/peer/calls/client.go
@@ -4,20 +4,20 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/trip"
 	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
 )
 
 const (
 	// connectTimeout is shorter than the heartbeat interval, so that an unreachable instance costs only one heartbeat.
 	connectTimeout = 250 * time.Millisecond
-	idleTimeout    = 30 * time.Second
-	maxIdlePerHost = 2
+	idleTimeout    = 20 * time.Second // less than that of the instances' servers
 )
 
 // Client calls other instances. It is safe for concurrent use.
@@ -30,13 +30,7 @@
 
 // NewClient returns a client that connects on demand.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}}
+	return &Client{http: &http.Client{Transport: trip.New(conns.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout})}}
 }
 
 func (c *Client) client(addr netip.AddrPort) peerpb.Peer {
--- a/internal/peer/push/client.go
+++ b/internal/peer/push/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,14 +9,15 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/bramleycove/bramleycove/internal/plat/conns"
+	"github.com/bramleycove/bramleycove/internal/plat/trip"
 	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 )
 
 const (
 	// connectTimeout covers the latency between regions, but not the retransmission of a lost packet.
 	connectTimeout = 400 * time.Millisecond
-	maxIdlePerHost = 2
-	idleTimeout    = 30 * time.Second
+	idleTimeout    = 20 * time.Second // less than that of the instances' servers
 )
 
 // Client calls other instances.
@@ -28,10 +28,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	return &Client{http: &http.Client{Transport: trip.New(conns.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout})}}
 }
 
 func (c *Client) siteAt(addr string) sitepb.Site {
--- a/test/broken/readers_test.go
+++ b/test/broken/readers_test.go
@@ -7,14 +7,19 @@
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleycove/bramleycove/internal/oper/opapi"
+	"github.com/bramleycove/bramleycove/internal/peer/calls"
+	"github.com/bramleycove/bramleycove/internal/peer/push"
 	"github.com/bramleycove/bramleycove/internal/place/assign"
 	"github.com/bramleycove/bramleycove/internal/place/spans"
 	"github.com/bramleycove/bramleycove/internal/plat/grants"
 	"github.com/bramleycove/bramleycove/internal/plat/keyed"
 	"github.com/bramleycove/bramleycove/internal/plat/logsvc"
 	"github.com/bramleycove/bramleycove/internal/plat/roster"
+	"github.com/bramleycove/bramleycove/internal/wire/peerpb"
+	"github.com/bramleycove/bramleycove/internal/wire/sitepb"
 	"github.com/bramleycove/bramleycove/platform"
 )
 
@@ -25,7 +30,17 @@
 	unframed bool // a body may end with the connection
 }
 
-func readers() map[string]reader {
+func encode(t *testing.T, m proto.Message) string {
+	t.Helper()
+	b, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func readers(t *testing.T) map[string]reader {
+	peer := encode(t, &sitepb.PushRequest{From: "i2", Peers: []string{"i2", "i3"}})
 	orderError := func(res assign.Result) error {
 		if res == assign.Accepted {
 			return nil
@@ -73,13 +88,21 @@
 			_, err := opapi.NewClient().Status(ctx, addr)
 			return err
 		}, true},
+		"instance, introduction": {peer, func(ctx context.Context, addr netip.AddrPort) error {
+			_, _, err := push.NewClient().FindLeader(ctx, addr.String(), "i1")
+			return err
+		}, false},
+		"instance, heartbeat": {encode(t, &peerpb.HeartbeatReply{}), func(ctx context.Context, addr netip.AddrPort) error {
+			_, err := calls.NewClient().Heartbeat(ctx, addr, &peerpb.HeartbeatRequest{})
+			return err
+		}, false},
 	}
 }
 
-// Guards against a broken answer that counts as an answer of the store, the list, the log, or a server that gets an order.
+// Guards against a broken answer that counts as an answer of the store, the list, the log, a server that gets an order, or another instance.
 func TestReaders(t *testing.T) {
 	const framed = "Content-Type: application/protobuf\r\nContent-Length: LENGTH\r\n\r\nBODY"
-	for name, r := range readers() {
+	for name, r := range readers(t) {
 		for kind, c := range map[string]struct {
 			head  string
 			reset bool
