Take a copy of an earlier answer to a grant for no answer

On the own interface, an answer to a grant that a server wrote once more on the connection counted as the answer to the next grant. A copy of a refusal made the controller forget that the server holds the slots of that grant, which could get a second owner.

Answers name no grant, but have a reading of the server's clock. One that is not later than that of the process's latest answer now fails, which counts as possibly accepted, and closes the connection, on which the true answer is still to come.

--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -234,7 +234,7 @@
 	c.abandoned = !stop()
 	if c.abandoned && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// All connections may have died without a reset; each would make another request time out.
-		p.closeIdle()
+		p.CloseIdle()
 	}
 	return !c.abandoned && err == nil && reuse && !c.sentIDs.full(), err
 }
@@ -525,8 +525,8 @@
 	return false
 }
 
-// closeIdle closes the idle connections.
-func (p *Pool) closeIdle() {
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idleConns {
@@ -548,5 +548,5 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.closeIdle()
+	p.CloseIdle()
 }
--- a/internal/plat/conns/line.go
+++ b/internal/plat/conns/line.go
@@ -44,9 +44,9 @@
 		return n, sent, err
 	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
 		// A copy of the answer would count against the next request, which may be for the process at the other end.
-		l.pool.closeIdle()
+		l.pool.CloseIdle()
 	case resp.StatusCode() >= fasthttp.StatusBadRequest && !l.isFirstRefusal(n, resp.StatusCode()):
-		l.pool.closeIdle()
+		l.pool.CloseIdle()
 		return n, sent, ErrRepeated
 	}
 	return n, sent, nil
--- a/internal/plat/grants/grants.go
+++ b/internal/plat/grants/grants.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -47,8 +48,14 @@
 // Client sends grants. It is safe for concurrent use.
 type Client struct {
 	pools *conns.Pools
+
+	mu     sync.Mutex
+	latest map[netip.AddrPort]reading
 }
 
+// reading is the clock reading of a server in its latest answer.
+type reading struct{ incarnation, clock uint64 }
+
 const (
 	connectTimeout = 250 * time.Millisecond
 	defaultTimeout = time.Second
@@ -62,10 +69,11 @@
 // New returns a client without connections.
 func New() *Client {
 	o := conns.Options{AcceptUnframed: true, ConnectTimeout: connectTimeout, Budget: intake.New(maxAnswerSize)}
-	return &Client{pools: conns.NewPools(connsPerServer, o)}
+	return &Client{pools: conns.NewPools(connsPerServer, o), latest: make(map[netip.AddrPort]reading)}
 }
 
-// Send sends g to the server at addr. After an error the grant may still take effect later.
+// Send sends g to the server at addr. After an error the grant may still take effect later. It fails with conns.ErrRepeated if the answer
+// may be a copy of an earlier one. Calls to one server must not overlap.
 func (c *Client) Send(ctx context.Context, addr netip.AddrPort, g Grant) (Reply, error) {
 	var out Reply
 	if g.Slots == nil {
@@ -88,11 +96,32 @@
 		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
 		defer cancel()
 	}
-	if _, err := c.pools.At(time.Now(), addr).Do(ctx, req, resp, time.Time{}); err != nil {
+	pool := c.pools.At(time.Now(), addr)
+	if _, err := pool.Do(ctx, req, resp, time.Time{}); err != nil {
 		return out, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return out, fmt.Errorf("server answered a grant with status %d", resp.StatusCode())
 	}
-	return out, json.Unmarshal(resp.Body(), &out)
+	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+		return out, err
+	}
+	if !c.isNew(addr, out) {
+		pool.CloseIdle() // the connection still gets the answer to this grant
+		return Reply{}, conns.ErrRepeated
+	}
+	return out, nil
+}
+
+// isNew reports whether the clock reading of r is later than that of the process's latest answer, and keeps it. Answers name no grant,
+// and only their readings differ for certain.
+func (c *Client) isNew(addr netip.AddrPort, r Reply) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, known := c.latest[addr]
+	if known && before.incarnation == r.Incarnation && before.clock >= r.Clock {
+		return false
+	}
+	c.latest[addr] = reading{r.Incarnation, r.Clock}
+	return true
 }
