--- a/internal/plat/heads/heads_test.go
+++ b/internal/plat/heads/heads_test.go
@@ -19,6 +19,7 @@
 		"HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nset-cookie: b=2\r\nDate:\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX Bad: 1\r\n\r\n", "HTTP/1.1 200 OK\nX: 1\r\n y\r\n\r\n", "HTTP/1.1 101 OK\r\nUpgrade: x\r\n\r\n", "HTTP/1.1 000\r\n\r\n",
+		"\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -30,6 +31,9 @@
 		br := bufio.NewReader(bytes.NewReader(text))
 		other := &http.Response{StatusCode: 100}
 		for other.StatusCode < 200 {
+			for b, _ := br.Peek(2); string(b) == "\r\n"; b, _ = br.Peek(2) {
+				_, _ = br.Discard(2) // the other reader skips no empty lines
+			}
 			var err error
 			if other, err = http.ReadResponse(br, nil); err != nil {
 				t.Fatalf("%q is accepted: %v", text, err)
--- a/internal/plat/heads/lines.go
+++ b/internal/plat/heads/lines.go
@@ -10,12 +10,13 @@
 )
 
 // peekLines waits for lines that end with an empty one, without consuming them, and returns their length with it. Each line must end
-// with CR and LF and be accepted by check, which gets its number from 0. The line 0 of a head is not the end, even if it is empty.
+// with CR and LF and be accepted by check, which gets its number from 0. Empty lines before a head are skipped: servers may end a body
+// with one that belongs to no answer.
 //
 // The HTTP library also accepts line feeds alone, lines that are continued in the next one, and blanks in names. Others may read such an
 // answer otherwise.
-func peekLines(br *bufio.Reader, head bool, check func(n int, line []byte) error) (size int, err error) {
-	for n := 0; ; n++ {
+func peekLines(br *bufio.Reader, isHead bool, check func(n int, line []byte) error) (size int, err error) {
+	for n := 0; ; {
 		line, err := peekLine(br, size)
 		if err != nil {
 			return 0, err
@@ -25,12 +26,15 @@
 		switch {
 		case !hasCR:
 			return 0, errors.Wrapf(ErrMalformed, "line %.100q", line)
-		case len(text) == 0 && (n > 0 || !head):
+		case len(text) == 0 && (n > 0 || !isHead):
 			return size, nil
+		case len(text) == 0:
+			continue
 		}
 		if err := check(n, text); err != nil {
 			return 0, err
 		}
+		n++
 	}
 }
 
--- a/test/broken/head_test.go
+++ b/test/broken/head_test.go
@@ -105,6 +105,7 @@
 		"interim answers":        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nSTAMPContent-Length: 2\r\n\r\nok", "ok", 200},
 		"no content":             {"HTTP/1.1 204 No Content\r\nSTAMP\r\n", "", 204},
 		"not modified":           {"HTTP/1.1 304 Not Modified\r\nSTAMPContent-Length: 2\r\n\r\n", "", 304},
+		"blank line before":      {"\r\nHTTP/1.1 200 OK\r\nSTAMPContent-Length: 2\r\n\r\nok", "ok", 200},
 		"head of 3 kB":           {"HTTP/1.1 200 OK\r\nSTAMPX-Other: " + strings.Repeat("x", 3000) + "\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
 		"same field twice":       {"HTTP/1.1 200 OK\r\nSTAMPSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
 	} {
