--- a/internal/plat/conns/line.go
+++ b/internal/plat/conns/line.go
@@ -14,7 +14,7 @@
 type Line struct {
 	pool *Pool
 	busy chan struct{} // holds an element during a request
-	// refusals are the statuses of the refusals on connection refusedOn. They belong to the request in progress.
+	// refusals are the statuses of the refusals that connection refusedOn has had. Only the request that holds busy uses them.
 	refusals  []int
 	refusedOn uint64
 }
