Count a server's refusal of a request once, whatever the connection

Callers got 503 for a request that ran, if the server wrote its earlier refusal of the same request, or of another one without an id, on a later connection, when that was opened or when the request arrived. After such a 421 from a pool without keys the router sent the request to the server again by itself, and it ran twice. That connections carry an id once guards only against copies on the connection of the first.

On the platform, a pool now keeps the ids of refused requests, up to 1,000. The second refusal of an id, or of a request without one, may be a copy, and becomes 502, may have run. A server of a pool without keys that answered 421 does not get the request again.

A sound server's second refusal of the same id becomes 502 too; callers give each attempt an id of its own.

--- a/internal/flow/sender/attempt.go
+++ b/internal/flow/sender/attempt.go
@@ -86,6 +86,9 @@
 	case errors.Is(err, intake.ErrOver):
 		// The instance has no memory for the answer; the server is sound.
 		return limit.Neutral, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
+	case errors.Is(err, conns.ErrRepeated):
+		// A sound server may refuse the same request twice.
+		return limit.Neutral, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonUnclear)
 	case errors.IsAny(err, conns.ErrTruncated, conns.ErrMismatch, conns.ErrNoLength, heads.ErrStatus, heads.ErrMalformed):
 		return limit.Broken, fail(result.MayHaveRun, fasthttp.StatusBadGateway, ReasonAnswerCut)
 	default:
@@ -123,7 +126,7 @@
 		c.lossChecks.Begin(t.Server, t.state.pool, x.Fingerprint)
 	}
 	x.serverFull = out == limit.Shed
-	if r.Refusal != RefusedNotOwner && out != limit.Done {
+	if (r.Refusal != RefusedNotOwner || t.ownershipID == "") && out != limit.Done {
 		x.tried[t.Server.Server] = true
 	}
 	if sent && out == limit.Broken && x.Route.MayRepeat() {
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -66,6 +66,7 @@
 	idleConns []*conn // most recently used last
 	openCount int
 	closed    bool
+	refused   idRing // ids of refused requests
 	// openedCount is how many connections were opened so far, attempts included.
 	openedCount uint64
 }
@@ -77,6 +78,9 @@
 	EchoHeader string
 	// AcceptUnframed accepts answers that end when the server closes the connection without a reset.
 	AcceptUnframed bool
+	// IsRefusal reports whether an answer says that its request did not run. If it is set, the second refusal of an id, or of a request
+	// without one, fails with ErrRepeated: it may be a copy of the first, on whichever connection.
+	IsRefusal func(*fasthttp.Response) bool
 	// MaxForeign is how many complete answers to other requests are skipped before the expected one.
 	MaxForeign int
 	// ConnectTimeout bounds a connection attempt; 0 means 500 ms.
@@ -199,7 +203,7 @@
 		sent = c.sent // once released, the connection may serve another request
 		c.maxIdle = p.idleLimit(resp)
 		p.release(c, reuse && !alone && !resp.ConnectionClose() && !req.ConnectionClose())
-		if errors.Is(err, ErrRepeated) && !opts.onlyNew {
+		if errors.Is(err, ErrRepeated) && p.TokenHeader != "" && !opts.onlyNew {
 			opts.onlyNew = true
 			if earlier, err := p.DoWith(ctx, req, resp, opts); err != nil {
 				return sent || earlier, err
@@ -230,6 +234,9 @@
 			err = ErrRepeated
 		}
 	}
+	if err == nil && p.IsRefusal != nil && p.IsRefusal(resp) && !p.isFirstRefusal(opts.id) {
+		err = ErrRepeated
+	}
 	// Once ctx has ended, its function may set the deadline at any moment, which would break the next request.
 	c.abandoned = !stop()
 	if c.abandoned && errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -525,6 +532,13 @@
 	return false
 }
 
+// isFirstRefusal reports whether no request with this id was refused before, and keeps the id.
+func (p *Pool) isFirstRefusal(id []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused.add(id)
+}
+
 // CloseIdle closes the idle connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
--- a/internal/plat/conns/ids.go
+++ b/internal/plat/conns/ids.go
@@ -25,3 +25,27 @@
 }
 
 func (s sentIDs) full() bool { return len(s) >= maxSentIDs }
+
+// maxRefusedIDs bounds the ids of refused requests that a pool keeps. Requests are sent again within their deadline of seconds.
+const maxRefusedIDs = 1000
+
+// idRing holds hashes of the latest ids that were added.
+type idRing struct {
+	hashes []uint64
+	next   int // where the next hash goes once there are maxRefusedIDs
+}
+
+// add reports whether the ring does not hold id yet, and adds it.
+func (r *idRing) add(id []byte) bool {
+	h := xxhash.Sum64(id)
+	switch {
+	case slices.Contains(r.hashes, h):
+		return false
+	case len(r.hashes) < maxRefusedIDs:
+		r.hashes = append(r.hashes, h)
+	default:
+		r.hashes[r.next] = h
+		r.next = (r.next + 1) % maxRefusedIDs
+	}
+	return true
+}
