Read the lines before chunks by their grammar

An answer whose chunks had a control byte in an extension reached its caller with status 200, though its framing is damaged, and one with blanks before an extension, which are legal, became 502. The HTTP library looks at no byte of an extension, and accepts no blank before one.

Package heads now reads these lines: hexadecimal digits, then extensions without control bytes, which are ignored. Blanks behind a size are accepted, as before. Memory grows with the bytes that arrive instead of with the announced size of a chunk.

--- a/internal/plat/conns/budget.go
+++ b/internal/plat/conns/budget.go
@@ -1,11 +1,14 @@
 package conns
 
 import (
+	"bytes"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleycove/bramleycove/internal/plat/heads"
 	"github.com/bramleycove/bramleycove/internal/plat/intake"
 )
 
@@ -64,6 +67,28 @@
 	return err
 }
 
+// readChunks reads a body in chunks and its trailer. Read bounds its length.
+func (c *conn) readChunks(resp *fasthttp.Response) error {
+	var body bytes.Buffer
+	for {
+		size, err := heads.ReadChunkSize(c.br)
+		if err != nil {
+			return err
+		}
+		if size == 0 {
+			resp.SwapBody(body.Bytes())
+			return heads.SkipTrailer(c.br)
+		}
+		// Memory grows with what arrives, not with what is announced.
+		if _, err := io.CopyN(&body, c.br, int64(size)); err != nil {
+			return err
+		}
+		if err := heads.ReadChunkEnd(c.br); err != nil {
+			return err
+		}
+	}
+}
+
 // resetReceived begins the count of the next answer.
 func (c *conn) resetReceived() {
 	if c.part != nil {
--- a/internal/plat/conns/conns.go
+++ b/internal/plat/conns/conns.go
@@ -377,12 +377,11 @@
 		return ErrNoLength
 	case length > freeAnswerBytes:
 		err = c.readDeclared(resp, length)
+	case length == -1:
+		err = c.readChunks(resp)
 	default:
 		err = resp.ReadBody(c.br, maxAnswerSize)
 	}
-	if err == nil && length == -1 {
-		err = heads.SkipTrailer(c.br)
-	}
 	if err != nil {
 		return errors.Mark(err, ErrTruncated)
 	}
--- a/test/broken/head_test.go
+++ b/test/broken/head_test.go
@@ -102,6 +102,8 @@
 		"blanks around a value":  {"HTTP/1.1 200 OK\r\nSTAMPContent-Length: \t 2\t \r\n\r\nok", "ok", 200},
 		"value in other bytes":   {"HTTP/1.1 200 OK\r\nSTAMPX-Other: \xfc\t\"a:b\"\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
 		"chunks":                 {"HTTP/1.1 200 OK\r\nSTAMPTransfer-Encoding: Chunked\r\n\r\n01;a=\"b\"\r\no\r\n1\r\nk\r\n000\r\n\r\n", "ok", 200},
+		"extensions of chunks":   {"HTTP/1.1 200 OK\r\nSTAMPTransfer-Encoding: chunked\r\n\r\n2 ; a=b;c=\"d;e\"\r\nok\r\n0;f\r\nX-Other:\r\n\r\n", "ok", 200},
+		"blank behind a size":    {"HTTP/1.1 200 OK\r\nSTAMPTransfer-Encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n", "ok", 200},
 		"interim answers":        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nSTAMPContent-Length: 2\r\n\r\nok", "ok", 200},
 		"no content":             {"HTTP/1.1 204 No Content\r\nSTAMP\r\n", "", 204},
 		"not modified":           {"HTTP/1.1 304 Not Modified\r\nSTAMPContent-Length: 2\r\n\r\n", "", 304},
