review: processes out of memory from heads with many short fields

Orders within the published limits, whose heads hold some 2,600 short fields and whose bodies stop short of their end, take ten times the memory that the daemon counts for them.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,7 +23,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(c *trial) (broken bool, err error){
-	"odd-entry": oddEntry,
+	"odd-entry":    oddEntry,
+	"short-fields": shortFields,
 }
 
 // trial is one run of a case.
